--- /dev/null
+++ b/crates/almondworks/src/error.rs
@@ -0,0 +1,66 @@
+//! Why a command failed.
+
+use {
+    crate::exit,
+    entry::{Conflict, Error as EntryError},
+    std::{io, path::PathBuf},
+    thiserror::Error as Derive,
+};
+
+/// A failed command.
+#[derive(Debug, Derive)]
+pub(crate) enum Error {
+    #[error("{0}")]
+    Usage(String),
+    #[error("{}: {error}", file.display())]
+    Text { file: PathBuf, error: conf::Error },
+    #[error("{}: {error}", file.display())]
+    File { file: PathBuf, error: io::Error },
+    #[error(transparent)]
+    Entry(#[from] EntryError),
+    #[error("{0}")]
+    Wire(#[from] wire::Error),
+    #[error("the entry knows no such service, key or version")]
+    Unknown,
+    #[error("{}", conflict(.0))]
+    Conflict(Box<Conflict>),
+    #[error("cannot start: {0}")]
+    System(#[from] io::Error),
+    #[error("the log is already set up")]
+    Log,
+}
+
+impl Error {
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) | Self::Text { .. } | Self::File { .. } => exit::INVALID,
+            Self::Conflict(conflict) => match **conflict {
+                Conflict::Version(_) => exit::CONFLICT,
+                Conflict::Invalid { .. } => exit::INVALID,
+                _ => exit::FAILED,
+            },
+            _ => exit::FAILED,
+        }
+    }
+}
+
+fn conflict(conflict: &Conflict) -> String {
+    match conflict {
+        Conflict::Version(text) => format!(
+            "not accepted: version {} by `{}` came first; see `almondworks config diff`",
+            text.version, text.by,
+        ),
+        Conflict::Invalid { problem, line, column } => match (line, column) {
+            (Some(line), Some(column)) => {
+                format!("not accepted: line {line}, column {column}: {problem}")
+            }
+            _ => format!("not accepted: {problem}"),
+        },
+        Conflict::Unknown => {
+            "the platform gave no answer; look with `almondworks config get` whether the text was \
+             accepted before trying again"
+                .to_owned()
+        }
+        Conflict::Refused => "not accepted: the platform does not take writes now".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/change.rs
@@ -0,0 +1,225 @@
+//! Operators' changes: each is a transaction whose result is found out before it is told.
+
+use {
+    crate::control::{
+        Outside,
+        input::Input,
+        operator::{ConfigChange, ConfigText, Conflict, Reply},
+        table::PREFIX,
+    },
+    conf::{Text, services},
+    http::StatusCode,
+    key::{Version, Vm},
+    platform::{
+        Client, Commit,
+        table::{Condition, Row, Transaction, Write},
+    },
+    report::log::wall_clock_ms,
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+    std::time::{Duration, Instant},
+    tokio::{sync::oneshot, task::spawn_local, time},
+};
+
+/// The row of the operators' text.
+pub(crate) const CONFIG_ROW: &str = "control/config";
+/// The prefix of the rows of targets to be emptied.
+pub(crate) const DRAIN_PREFIX: &str = "control/drain/";
+/// The prefix of the rows of VMs that operators vouched for.
+pub(crate) const VOUCH_PREFIX: &str = "control/vouch/";
+/// The prefix of the rows that keep every version of the operators' text.
+const LOG_PREFIX: &str = "config-log/";
+
+/// The longest time until the result of a change is known.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The content of the row of the operators' text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ConfigRow {
+    pub(crate) text: String,
+    pub(crate) by: String,
+    pub(crate) at_ms: u64,
+    token: u64,
+}
+
+/// The content of a row that marks a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Mark {
+    by: String,
+    at_ms: u64,
+}
+
+impl ConfigRow {
+    /// Reads the row, if it has a text.
+    pub(crate) fn decode(row: &Row) -> Option<Self> {
+        serde_json::from_str(row.value.as_ref()?).ok()
+    }
+
+    pub(crate) fn told(self, version: Version) -> ConfigText {
+        ConfigText { version, by: self.by, at_ms: self.at_ms, text: self.text }
+    }
+}
+
+/// Checks a text against itself and against the one in force.
+pub(crate) fn check(text: &str, current: &Text) -> Result<Text, Conflict> {
+    let parsed = Text::parse(text).map_err(|error| Conflict::Invalid {
+        problem: error.kind().to_string(),
+        line: error.position().map(|position| position.line),
+        column: error.position().map(|position| position.column),
+    })?;
+    for service in &parsed.services {
+        let before = current.service(service.name.as_str());
+        if let Some(before) = before.filter(|before| shape(before) != shape(service)) {
+            let name = &before.name;
+            let problem = format!(
+                "service `{name}`: `shards`, `cells_per_zone` and the kind of a service cannot \
+                 change while it has owners, expected them as they are",
+            );
+            return Err(Conflict::Invalid { problem, line: None, column: None });
+        }
+    }
+    Ok(parsed)
+}
+
+/// What decides in which row a shard stands.
+fn shape(service: &services::Service) -> Option<(u64, u64)> {
+    let keyed = service.keyed.as_ref()?;
+    Some((keyed.shards.get(), keyed.cells_per_zone.get()))
+}
+
+/// Writes a text that was checked, and answers with the version or the conflict.
+pub(crate) fn put(
+    outside: &Outside,
+    base: Version,
+    by: String,
+    text: String,
+    answer: oneshot::Sender<Reply>,
+) {
+    let (platform, inputs) = (outside.platform.clone(), outside.inputs.clone());
+    spawn_local(async move {
+        let row = ConfigRow { text, by, at_ms: wall_clock_ms(), token: rand::random() };
+        let reply = match commit(&platform, base, &row).await {
+            Ok(version) => {
+                let text = peer::Versioned { version, value: row.text };
+                inputs.send(Input::Accepted { text, by: row.by }).await;
+                wire::json(StatusCode::OK, &ConfigChange { version })
+            }
+            Err(conflict) => refuse(&conflict),
+        };
+        answer.send(reply).ok();
+    });
+}
+
+/// Returns the answer for a change that was not taken.
+pub(crate) fn refuse(conflict: &Conflict) -> Reply {
+    let status = match conflict {
+        Conflict::Version(_) => StatusCode::CONFLICT,
+        Conflict::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        Conflict::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        Conflict::Refused => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    wire::json(status, conflict)
+}
+
+async fn commit(platform: &Client, base: Version, row: &ConfigRow) -> Result<Version, Conflict> {
+    let version = base.next();
+    let value = serde_json::to_string(row).ok();
+    let log = SmolStr::from(format!("{LOG_PREFIX}{version}"));
+    let name = SmolStr::new_static(CONFIG_ROW);
+    let transaction = Transaction {
+        conditions: vec![Condition { name: name.clone(), version: base }],
+        writes: vec![Write { name, value: value.clone() }, Write { name: log, value }],
+    };
+    let deadline = Instant::now() + PATIENCE;
+    let mut uncertain = false;
+    while Instant::now() < deadline {
+        match platform.commit(&transaction).await {
+            Commit::Committed(_) => return Ok(version),
+            Commit::Conflict(rows) => return settle(platform, &rows, row, version).await,
+            Commit::Refused if !uncertain => return Err(Conflict::Refused),
+            Commit::Refused | Commit::Ambiguous => {
+                uncertain = true;
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+    Err(Conflict::Unknown)
+}
+
+/// Finds out whether the row that is in the way is our own, written by a try whose answer was lost.
+async fn settle(
+    platform: &Client,
+    rows: &[Row],
+    ours: &ConfigRow,
+    version: Version,
+) -> Result<Version, Conflict> {
+    let Some(row) = rows.first() else { return Err(Conflict::Unknown) };
+    let Some(current) = ConfigRow::decode(row) else {
+        let absent =
+            ConfigText { version: row.version, by: String::new(), at_ms: 0, text: String::new() };
+        return Err(Conflict::Version(absent));
+    };
+    if current == *ours {
+        return Ok(version);
+    }
+    if row.version > version && logged(platform, version).await.as_ref() == Some(ours) {
+        // Ours took effect, and another followed it.
+        return Ok(version);
+    }
+    Err(Conflict::Version(current.told(row.version)))
+}
+
+async fn logged(platform: &Client, version: Version) -> Option<ConfigRow> {
+    let row = platform.read(&format!("{LOG_PREFIX}{version}")).await.ok()?;
+    ConfigRow::decode(&row)
+}
+
+/// Answers with one version of the operators' text.
+pub(crate) fn show_version(outside: &Outside, version: Version, answer: oneshot::Sender<Reply>) {
+    let platform = outside.platform.clone();
+    spawn_local(async move {
+        let reply = match platform.read(&format!("{LOG_PREFIX}{version}")).await {
+            Ok(row) => match ConfigRow::decode(&row) {
+                Some(found) => wire::json(StatusCode::OK, &found.told(version)),
+                None => wire::status(StatusCode::NOT_FOUND),
+            },
+            Err(_) => wire::status(StatusCode::SERVICE_UNAVAILABLE),
+        };
+        answer.send(reply).ok();
+    });
+}
+
+/// Marks a VM in the table, or takes the mark away, and puts the change on record.
+pub(crate) fn mark(
+    outside: &Outside,
+    prefix: &'static str,
+    vm: &Vm,
+    on: bool,
+    kind: report::Kind,
+    answer: oneshot::Sender<Reply>,
+) {
+    debug_assert!(prefix.starts_with(PREFIX));
+    let (platform, inputs) = (outside.platform.clone(), outside.inputs.clone());
+    let by = match &kind {
+        report::Kind::Drained { by, .. } | report::Kind::Vouched { by, .. } => by.clone(),
+        _ => String::new(),
+    };
+    let mark = Mark { by, at_ms: wall_clock_ms() };
+    let value = if on { serde_json::to_string(&mark).ok() } else { None };
+    let name = SmolStr::from(format!("{prefix}{vm}"));
+    let write = Write { name, value };
+    let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
+    spawn_local(async move {
+        let reply = match platform.commit(&transaction).await {
+            Commit::Committed(_) => {
+                inputs.send(Input::Changed(kind)).await;
+                wire::json(StatusCode::OK, &())
+            }
+            Commit::Conflict(_) | Commit::Refused => refuse(&Conflict::Refused),
+            Commit::Ambiguous => refuse(&Conflict::Unknown),
+        };
+        answer.send(reply).ok();
+    });
+}
--- /dev/null
+++ b/crates/entry/src/control/fleet.rs
@@ -0,0 +1,236 @@
+//! Talking with the other entries.
+
+use {
+    crate::control::{
+        Outside,
+        input::{Input, Inputs},
+        state::State,
+    },
+    conf::Settings,
+    key::{Process, Version, clock::Tick},
+    own::{Event, Peer, Row, stop},
+    peer::{Client, Fleet, Hello, Refused, Versioned, Welcome},
+    report::{Record, burn::Line},
+    route::quarantine::Strike,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tarpc::context::Context,
+    tokio::{
+        sync::oneshot,
+        task::{AbortHandle, spawn_local},
+        time,
+    },
+};
+
+/// The signs of life in the time after which a peer counts as lost.
+const HELLOS_PER_LIMIT: u64 = 4;
+
+/// The connections to the peers.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    tasks: HashMap<SocketAddr, AbortHandle>,
+    clients: HashMap<Process, Client>,
+}
+
+impl Links {
+    /// Returns the connection to a process.
+    pub(crate) fn client(&self, process: &Process) -> Option<Client> {
+        self.clients.get(process).cloned()
+    }
+
+    /// Returns all connections with their processes.
+    pub(crate) fn named(&self) -> Vec<(Process, Client)> {
+        self.clients.iter().map(|(process, client)| (process.clone(), client.clone())).collect()
+    }
+
+    /// Returns all connections.
+    pub(crate) fn clients(&self) -> Vec<Client> {
+        self.clients.values().cloned().collect()
+    }
+}
+
+/// Keeps a task for each peer that is known, and ends those of peers that are gone.
+pub(crate) fn keep(outside: &Outside, state: &State, answering: &Answering) {
+    let wanted = state.peer_addresses();
+    let mut links = outside.links.borrow_mut();
+    links.tasks.retain(|address, task| {
+        let keep = wanted.contains(address);
+        if !keep {
+            task.abort();
+        }
+        keep
+    });
+    for address in wanted {
+        links.tasks.entry(address).or_insert_with(|| {
+            let links = std::rc::Rc::clone(&outside.links);
+            let (inputs, hello) = (outside.inputs.clone(), answering.hello.clone());
+            let limit = outside.shared.settings.lease.peer_lost();
+            let task = async move {
+                loop {
+                    converse(address, &links, &inputs, &hello, limit).await;
+                    time::sleep(limit / HELLOS_PER_LIMIT as u32).await;
+                }
+            };
+            spawn_local(task).abort_handle()
+        });
+    }
+}
+
+/// Connects to one peer and asks for signs of life, one after the other, until one is missing.
+///
+/// The order matters: a sign that was sent before the peer's process ended must never be taken in
+/// after one of its successor, or the successor would be taken for the one that ended.
+async fn converse(
+    address: SocketAddr,
+    links: &std::rc::Rc<std::cell::RefCell<Links>>,
+    inputs: &Inputs,
+    hello: &Hello,
+    limit: Duration,
+) {
+    let Ok(client) = peer::connect(address, limit).await else { return };
+    let mut known: Option<Process> = None;
+    loop {
+        let welcome = match client.hello(hello.clone()).await {
+            Ok(welcome) => welcome,
+            Err(error) => {
+                if let peer::Error::Refused(refused) = &error {
+                    log::warn!("peer {address} is refused: {refused}");
+                }
+                break;
+            }
+        };
+        if known.is_none() {
+            let process = welcome.process.clone();
+            links.borrow_mut().clients.insert(process.clone(), client.clone());
+            known = Some(process);
+            if let Ok(state) = client.sync().await {
+                inputs.send(Input::Synced(state)).await;
+            }
+        }
+        inputs.send(Input::Welcomed(welcome)).await;
+        time::sleep(limit / HELLOS_PER_LIMIT as u32).await;
+    }
+    if let Some(process) = known {
+        links.borrow_mut().clients.remove(&process);
+    }
+}
+
+/// Asks a process to stop renewing and reports its promise.
+pub(crate) async fn ask_stop(client: Client, inputs: Inputs, ask: stop::Ask) {
+    if let Ok(ack) = client.stop(ask.clone()).await {
+        let received = Tick::now();
+        inputs.send(Input::Event(Event::StopAcked { ask, ack, received })).await;
+    }
+}
+
+/// Returns what a sign of life means for ownership.
+pub(crate) fn peer_of(welcome: &Welcome) -> Peer {
+    Peer { process: welcome.process.clone(), zone: welcome.zone.clone(), leaving: welcome.leaving }
+}
+
+/// Answers the peers' calls, on the control thread.
+#[derive(Clone, Debug)]
+pub(crate) struct Answering {
+    inputs: Inputs,
+    hello: Hello,
+    welcome: Arc<Mutex<Welcome>>,
+}
+
+impl Answering {
+    pub(crate) fn new(inputs: Inputs, me: &Process, settings: &Settings) -> Self {
+        let welcome = Welcome {
+            process: me.clone(),
+            zone: settings.zone.clone(),
+            leaving: false,
+            config: Version::ZERO,
+            rows: 0,
+        };
+        let hello = Hello { cluster: settings.cluster.clone(), protocol: peer::PROTOCOL };
+        Self { inputs, hello, welcome: Arc::new(Mutex::new(welcome)) }
+    }
+
+    /// Replaces what signs of life tell.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut Welcome)) {
+        change(&mut self.welcome.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+impl Fleet for Answering {
+    async fn hello(self, _: Context, hello: Hello) -> Result<Welcome, Refused> {
+        if hello.cluster != self.hello.cluster {
+            return Err(Refused::Cluster(self.hello.cluster));
+        }
+        if hello.protocol != self.hello.protocol {
+            return Err(Refused::Protocol(self.hello.protocol));
+        }
+        Ok(self.welcome.lock().unwrap_or_else(PoisonError::into_inner).clone())
+    }
+
+    async fn publish(self, _: Context, rows: Vec<Versioned<Row>>) -> Result<(), Refused> {
+        for Versioned { version, value } in rows {
+            self.inputs.offer(Input::Event(Event::Row { version, row: value }))?;
+        }
+        Ok(())
+    }
+
+    async fn configure(self, _: Context, text: Versioned<String>) -> Result<(), Refused> {
+        self.inputs.offer(Input::Configured(text))
+    }
+
+    async fn stop(self, _: Context, ask: stop::Ask) -> Result<stop::Ack, Refused> {
+        let (answer, receiver) = oneshot::channel();
+        self.inputs.offer(Input::StopAsked { ask, answer })?;
+        receiver.await.unwrap_or(Err(Refused::Busy))
+    }
+
+    async fn sync(self, _: Context) -> peer::State {
+        let (answer, receiver) = oneshot::channel();
+        if self.inputs.offer(Input::SyncAsked(answer)).is_err() {
+            return peer::State::default();
+        }
+        receiver.await.unwrap_or_default()
+    }
+
+    async fn farewell(self, _: Context, process: Process) -> Result<(), Refused> {
+        self.inputs.offer(Input::Event(Event::Ended(process)))
+    }
+
+    async fn records(self, _: Context, limit: u32) -> Vec<Record> {
+        let (answer, receiver) = oneshot::channel();
+        let asked = self.inputs.offer(Input::Records { limit: limit as usize, answer });
+        if asked.is_err() { Vec::new() } else { receiver.await.unwrap_or_default() }
+    }
+
+    async fn burn(self, _: Context) -> Vec<Line> {
+        let (answer, receiver) = oneshot::channel();
+        let asked = self.inputs.offer(Input::Burn(answer));
+        if asked.is_err() { Vec::new() } else { receiver.await.unwrap_or_default() }
+    }
+
+    async fn strike(self, _: Context, strike: Strike) -> Result<(), Refused> {
+        self.inputs.offer(Input::Struck(strike))
+    }
+}
+
+/// Tells every peer of a strike, then the request that waits for it.
+pub(crate) fn share_strike(outside: &Outside, strike: Strike, told: oneshot::Sender<()>) {
+    let clients = outside.links.borrow().clients();
+    spawn_local(async move {
+        let words =
+            clients.into_iter().map(|client| async move { client.strike(strike).await.ok() });
+        futures::future::join_all(words).await;
+        told.send(()).ok();
+    });
+}
+
+/// Sends a new operators' text to every peer.
+pub(crate) fn share_config(outside: &Outside, text: &Versioned<String>) {
+    for client in outside.links.borrow().clients() {
+        let text = text.clone();
+        spawn_local(async move { client.configure(text).await.ok() });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/shipper.rs
@@ -0,0 +1,29 @@
+//! Shipping the decision log to the object store.
+
+use {
+    crate::control::input::{Input, Inputs},
+    key::Process,
+    platform::Client,
+    std::time::Duration,
+    tokio::{sync::oneshot, time},
+};
+
+/// The time between two batches.
+const EVERY: Duration = Duration::from_secs(2);
+
+/// Ships what is new, for ever; while the object store is down the ring keeps the newest.
+pub(crate) async fn run(client: Client, inputs: Inputs, me: Process) {
+    loop {
+        time::sleep(EVERY).await;
+        let (answer, receiver) = oneshot::channel();
+        inputs.send(Input::Unshipped(answer)).await;
+        let Ok(records) = receiver.await else { return };
+        let (Some(first), Some(last)) = (records.first(), records.last()) else { continue };
+        let name = format!("decisions/{:013}-{}-{}", first.at_ms, me.vm, first.seq);
+        let lines: Vec<String> =
+            records.iter().filter_map(|record| serde_json::to_string(record).ok()).collect();
+        if client.put_object(&name, lines.join("\n").into_bytes()).await.is_ok() {
+            inputs.send(Input::Shipped(last.seq)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/target.rs
@@ -0,0 +1,35 @@
+//! Sending orders to targets.
+
+use {
+    crate::control::input::{Input, Inputs},
+    conf::Settings,
+    key::clock::Tick,
+    own::{
+        Event, cell,
+        lease::{self, Answer, Offer},
+    },
+    std::time::Duration,
+};
+
+pub(crate) fn client(settings: &Settings) -> wire::Client {
+    let timeout = Duration::from_millis(settings.control.target_timeout_ms.get());
+    wire::Config::default().timeout(timeout).build()
+}
+
+/// Sends an order and reports what came of it.
+pub(crate) async fn offer(
+    client: wire::Client,
+    inputs: Inputs,
+    target: cell::Target,
+    offer: Offer,
+) {
+    let sent = (&offer).into();
+    let answer: Result<Answer, _> = client.post(target.address, lease::PATH, &offer).await;
+    let received = Tick::now();
+    let (cell, vm) = (offer.cell, target.vm);
+    let event = match answer {
+        Ok(answer) => Event::Answered { cell, vm, sent, received, answer },
+        Err(_) => Event::Failed { cell, vm },
+    };
+    inputs.send(Input::Event(event)).await;
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,129 @@
+//! The process: its two runtimes, its start and its stop.
+
+use {
+    crate::{
+        Error,
+        control::{self, Seat},
+        shared::Shared,
+        traffic::{handle::Context, server},
+    },
+    conf::Settings,
+    key::{Incarnation, Process},
+    log::{info, warn},
+    report::Metrics,
+    std::{net::SocketAddr, sync::Arc, thread, time::Duration},
+    tokio::{
+        net::TcpListener,
+        runtime::{Builder, Runtime},
+        signal::unix::{SignalKind, signal},
+        sync::{mpsc, watch},
+        time,
+    },
+};
+
+/// The messages from traffic that may wait for control.
+const FEEDBACK: usize = 1_024;
+
+/// The longest wait of one probe of a target.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Runs an entry until a signal stops it; then waits until nothing is in flight.
+///
+/// # Errors
+///
+/// Returns an [`Error`] if the process cannot start or its control thread ends.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let me =
+        Process { vm: settings.vm.clone(), incarnation: Incarnation::from(rand::random::<u64>()) };
+    let traffic = traffic_runtime(&settings)?;
+    let metrics = Metrics::new(settings.statsd)?;
+    let (feedback, from_traffic) = mpsc::channel(FEEDBACK);
+    let shared = Shared::new(settings, feedback, metrics);
+    let (stop, stopped) = watch::channel(false);
+    let (handed_over, hand_over) = watch::channel(false);
+    let (started, start) = std::sync::mpsc::channel();
+    let operators = bind(shared.settings.operator_listen)?;
+    let callers = bind(shared.settings.listen)?;
+    let seat = Seat {
+        me: me.clone(),
+        shared: Arc::clone(&shared),
+        feedback: from_traffic,
+        stop: stopped.clone(),
+        operators,
+        started,
+        handed_over,
+    };
+    let control =
+        thread::Builder::new().name("control".to_owned()).spawn(move || control::run(seat))?;
+    start.recv().map_err(|_| Error::Control)??;
+    info!("{me} started, callers on {}", shared.settings.listen);
+    let served = traffic.block_on(async {
+        let listener = TcpListener::from_std(callers)?;
+        let context = Arc::new(context(&shared, me));
+        let serving = tokio::spawn(server::serve(listener, context, stopped));
+        wait_for_signal().await?;
+        announce(&shared, &stop, hand_over).await;
+        Ok::<_, std::io::Error>(serving.await.unwrap_or(false))
+    })?;
+    if !served {
+        warn!("answers were still in flight at the limit of stop_ms");
+    }
+    if control.is_finished() {
+        return Err(Error::Control);
+    }
+    info!("stopped");
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<std::net::TcpListener, Error> {
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    };
+    listen().map_err(|cause| Error::Listen { address, cause })
+}
+
+fn traffic_runtime(settings: &Settings) -> Result<Runtime, Error> {
+    let threads = settings.traffic_threads.get() as usize;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    Ok(runtime)
+}
+
+fn context(shared: &Arc<Shared>, me: Process) -> Context {
+    let timeout = Duration::from_millis(shared.settings.control.platform_timeout_ms.get());
+    Context {
+        shared: Arc::clone(shared),
+        me,
+        platform: platform::Config::new(shared.settings.platform).timeout(timeout).build(),
+        probe: wire::Config::default().timeout(PROBE_TIMEOUT).build(),
+    }
+}
+
+async fn wait_for_signal() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Tells the balancer and the peers, waits for the handover, and stops taking connections.
+async fn announce(
+    shared: &Shared,
+    stop: &watch::Sender<bool>,
+    mut handed_over: watch::Receiver<bool>,
+) {
+    shared.stopping.store(true, std::sync::atomic::Ordering::Relaxed);
+    let notice = Duration::from_millis(shared.settings.traffic.notice_ms.get());
+    info!("stopping: callers are asked to go elsewhere for {notice:?}");
+    time::sleep(notice).await;
+    stop.send_replace(true);
+    handed_over.wait_for(|done| *done).await.ok();
+}
--- /dev/null
+++ b/crates/entry/src/snapshot.rs
@@ -0,0 +1,63 @@
+//! The routing table that traffic reads: immutable, and replaced as a whole.
+
+use {
+    crate::traffic::{service::Live, target::Target},
+    conf::services,
+    key::{
+        Fence, Service as Name, Shard,
+        arena::{Arena, Index},
+    },
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
+};
+
+/// The owner of a shard.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Owner {
+    pub(crate) target: Index<Arc<Target>>,
+    pub(crate) fence: Fence,
+}
+
+/// How the requests of a service are routed.
+#[derive(Debug)]
+pub(crate) enum Route {
+    /// By key, to the owner of each shard.
+    Keyed(Vec<Option<Owner>>),
+    /// To any of these targets.
+    Any(Vec<Index<Arc<Target>>>),
+}
+
+/// One service.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) conf: services::Service,
+    /// Every service that this one needs, directly or through others.
+    pub(crate) needs: HashSet<Name>,
+    pub(crate) route: Route,
+    pub(crate) live: Arc<Live>,
+}
+
+impl Service {
+    /// Returns the owner of a shard.
+    pub(crate) fn owner(&self, shard: Shard) -> Option<Owner> {
+        match &self.route {
+            Route::Keyed(owners) => owners.get(shard.get() as usize).copied().flatten(),
+            Route::Any(_) => None,
+        }
+    }
+}
+
+/// Everything that routing needs.
+#[derive(Debug, Default)]
+pub(crate) struct Snapshot {
+    pub(crate) services: HashMap<Name, Arc<Service>>,
+    pub(crate) targets: Arena<Arc<Target>>,
+}
+
+impl Snapshot {
+    pub(crate) fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(&Name::from(name))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/traffic/body.rs
@@ -0,0 +1,134 @@
+//! Bodies on their way through, held in no more memory than the connections' buffers.
+
+use {
+    crate::traffic::{handle::Watch, target::Connection},
+    bytes::Bytes,
+    hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint},
+    std::{
+        future::Future,
+        pin::Pin,
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+    thiserror::Error as Derive,
+    tokio::time::{Instant, Sleep, sleep},
+};
+
+/// Why a body broke off. The receiver sees a broken connection, never a clean end.
+#[derive(Debug, Derive)]
+pub(crate) enum Error {
+    #[error("the other side broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("no byte came for {0:?}")]
+    Stalled(Duration),
+}
+
+/// A body of either direction.
+#[derive(Debug)]
+pub(crate) enum Body {
+    /// One piece, which can be sent again.
+    Whole(Bytes),
+    /// A caller's body, passed on as it comes.
+    Upload(Incoming),
+    /// A target's body, passed on as it comes.
+    Relay(Box<Relay>),
+}
+
+/// A target's answer on its way to the caller.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    stall: Pin<Box<Sleep>>,
+    patience: Duration,
+    watch: Watch,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        incoming: Incoming,
+        connection: Connection,
+        patience: Duration,
+        watch: Watch,
+    ) -> Self {
+        let stall = Box::pin(sleep(patience));
+        Self { incoming, connection: Some(connection), stall, patience, watch }
+    }
+
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(context) {
+            return Poll::Ready(match frame {
+                Some(Ok(frame)) => {
+                    self.stall.as_mut().reset(Instant::now() + self.patience);
+                    Some(Ok(frame))
+                }
+                Some(Err(error)) => {
+                    self.connection = None;
+                    self.watch.fail();
+                    Some(Err(error.into()))
+                }
+                None => {
+                    self.end();
+                    None
+                }
+            });
+        }
+        ready!(self.stall.as_mut().poll(context));
+        if let Some(connection) = self.connection.take() {
+            connection.target.retire_idle();
+            self.watch.fail();
+        }
+        Poll::Ready(Some(Err(Error::Stalled(self.patience))))
+    }
+
+    /// Gives the connection back, as the answer was read whole.
+    fn end(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.watch.serve();
+            connection.release();
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.end();
+        }
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Upload(incoming) => {
+                Pin::new(incoming).poll_frame(context).map(|frame| frame.map(|frame| Ok(frame?)))
+            }
+            Self::Relay(relay) => relay.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_empty(),
+            Self::Upload(incoming) => incoming.is_end_stream(),
+            Self::Relay(relay) => relay.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Upload(incoming) => incoming.size_hint(),
+            Self::Relay(relay) => relay.incoming.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/traffic/claim.rs
@@ -0,0 +1,102 @@
+//! Claims: the record in the table that a request with an idempotency key has been sent.
+//!
+//! The claim is written before the request is sent, so a repeat that reaches any entry finds it. It
+//! is given up only when it is proved that the request did not run. While the table does not answer,
+//! such requests are refused as not run: a claim that only the peers know would be lost with them.
+
+use {
+    key::{Process, Version},
+    platform::{
+        Client, Commit,
+        table::{Condition, Row, Transaction, Write},
+    },
+    route::Reason,
+    serde::{Deserialize, Serialize},
+    smol_str::SmolStr,
+    std::time::{Duration, Instant},
+    tokio::time,
+};
+
+const RETRY: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Text {
+    by: Process,
+    token: u64,
+    released: bool,
+}
+
+/// A claim that this process holds.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    name: SmolStr,
+    version: Version,
+    text: Text,
+}
+
+impl Claim {
+    /// Takes the claim for `id`, or tells why the request must not be sent.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Duplicate`] if the request was sent before, and [`Reason::ClaimUnavailable`] if the
+    /// table does not say by the deadline.
+    pub(crate) async fn take(
+        client: &Client,
+        me: &Process,
+        service: &str,
+        id: &str,
+        deadline: Instant,
+    ) -> Result<Self, Reason> {
+        let (high, low) = (key::rank(service, id), key::rank(id, service));
+        let name = SmolStr::from(format!("claim/{service}/{high:016x}{low:016x}"));
+        let text = Text { by: me.clone(), token: rand::random(), released: false };
+        let mut version = Version::ZERO;
+        while Instant::now() < deadline {
+            match commit(client, &name, version, &text).await {
+                Commit::Committed(_) => {
+                    return Ok(Self { name, version: version.next(), text });
+                }
+                Commit::Conflict(rows) => match judge(&rows, &text) {
+                    Found::Ours(version) => return Ok(Self { name, version, text }),
+                    Found::Free(current) => version = current,
+                    Found::Taken => return Err(Reason::Duplicate),
+                },
+                Commit::Refused | Commit::Ambiguous => time::sleep(RETRY).await,
+            }
+        }
+        Err(Reason::ClaimUnavailable)
+    }
+
+    /// Gives the claim up, since the request is proved not to have run.
+    pub(crate) async fn release(mut self, client: &Client) {
+        self.text.released = true;
+        // If the answer is lost the claim may stay, which only refuses a repeat.
+        commit(client, &self.name, self.version, &self.text).await;
+    }
+}
+
+enum Found {
+    Ours(Version),
+    Free(Version),
+    Taken,
+}
+
+fn judge(rows: &[Row], ours: &Text) -> Found {
+    let Some(row) = rows.first() else { return Found::Taken };
+    let Some(value) = &row.value else { return Found::Free(row.version) };
+    match serde_json::from_str::<Text>(value) {
+        Ok(text) if text == *ours => Found::Ours(row.version),
+        Ok(text) if text.released => Found::Free(row.version),
+        _ => Found::Taken,
+    }
+}
+
+async fn commit(client: &Client, name: &SmolStr, version: Version, text: &Text) -> Commit {
+    let value = serde_json::to_string(text).ok();
+    let transaction = Transaction {
+        conditions: vec![Condition { name: name.clone(), version }],
+        writes: vec![Write { name: name.clone(), value }],
+    };
+    client.commit(&transaction).await
+}
--- /dev/null
+++ b/crates/entry/src/traffic/mod.rs
@@ -0,0 +1,10 @@
+//! The data path.
+
+pub(crate) mod attempt;
+pub(crate) mod body;
+pub(crate) mod claim;
+pub(crate) mod handle;
+pub(crate) mod refuse;
+pub(crate) mod server;
+pub(crate) mod service;
+pub(crate) mod target;
--- /dev/null
+++ b/crates/entry/src/traffic/refuse.rs
@@ -0,0 +1,38 @@
+//! Refusals as answers.
+
+use {
+    crate::traffic::body::Body,
+    http::{HeaderValue, Response, StatusCode, header as standard},
+    route::{Outcome, Refusal, header},
+    serde::Serialize,
+};
+
+#[derive(Serialize)]
+struct Explanation<'a> {
+    outcome: Outcome,
+    reason: route::Reason,
+    service: &'a str,
+    entry: &'a str,
+}
+
+/// Returns the answer to a request that is refused.
+pub(crate) fn response(refusal: Refusal, service: &str, entry: &str) -> Response<Body> {
+    let Refusal { outcome, reason } = refusal;
+    let body = serde_json::to_vec(&Explanation { outcome, reason, service, entry });
+    let mut response = Response::new(Body::Whole(body.unwrap_or_default().into()));
+    *response.status_mut() =
+        StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert(standard::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    for (name, value) in
+        [(header::OUTCOME, outcome.to_string()), (header::REASON, reason.to_string())]
+    {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    }
+    if let Some(span) = reason.retry_after() {
+        headers.insert(standard::RETRY_AFTER, span.as_secs().into());
+    }
+    response
+}
--- /dev/null
+++ b/crates/own/src/cell.rs
@@ -0,0 +1,162 @@
+//! The row of a cell: a group of targets in one availability zone, and the shards they own.
+//!
+//! One row holds all shards of a cell, so the loss of any number of its targets is one write. A
+//! row per shard was weighed and would need as many writes as a lost target had shards; see
+//! docs/CAPACITY.md.
+
+use {
+    crate::Error,
+    key::{Fence, Process, Service, Shard, Term, Vm, Zone},
+    serde::{Deserialize, Serialize},
+    std::{fmt, net::SocketAddr},
+};
+
+/// The prefix of the names of all cell rows in the table.
+pub const ROW_PREFIX: &str = "control/cell/";
+
+/// The name of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Name {
+    /// The service whose shards it holds.
+    pub service: Service,
+    /// The availability zone of its targets.
+    pub zone: Zone,
+    /// The number of the cell among those of the service in the zone.
+    pub index: u32,
+}
+
+impl Name {
+    /// Returns the name of the cell's row in the table.
+    #[must_use]
+    pub fn row_name(&self) -> String {
+        format!("{ROW_PREFIX}{self}")
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}/{}/{}", self.service, self.zone, self.index)
+    }
+}
+
+/// A target of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The VM.
+    pub vm: Vm,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The ownership of one shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slot {
+    /// The shard.
+    pub shard: Shard,
+    /// The owner as a position in [`Row::targets`], or nothing while the shard has no owner.
+    pub owner: Option<u32>,
+    /// Grows with each change of the owner.
+    pub fence: Fence,
+}
+
+/// A declared intent to take over a cell whose availability zone seems cut off.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Closing {
+    /// The process that wants to take over.
+    pub by: Process,
+}
+
+/// The content of a cell's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The name of the cell.
+    pub name: Name,
+    /// Grows with each change of the guardian.
+    pub term: Term,
+    /// The process that renews leases and decides on owners.
+    pub guardian: Option<Process>,
+    /// The processes that renew leases while the guardian is silent, in order.
+    pub deputies: Vec<Process>,
+    /// Processes that had the right to renew and have not been proved to have stopped.
+    pub former: Vec<Process>,
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// The shards of the cell, in order.
+    pub slots: Vec<Slot>,
+    /// A declared intent to take over the cell.
+    pub closing: Option<Closing>,
+    /// Drawn by the writer, which knows its own write by it when the answer was lost.
+    pub token: u64,
+}
+
+impl Row {
+    /// Returns a row without guardian, targets or shards.
+    #[must_use]
+    pub const fn empty(name: Name) -> Self {
+        Self {
+            name,
+            term: Term::ZERO,
+            guardian: None,
+            deputies: Vec::new(),
+            former: Vec::new(),
+            targets: Vec::new(),
+            slots: Vec::new(),
+            closing: None,
+            token: 0,
+        }
+    }
+
+    /// Reads a row from the text in the table.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Row`] if the text is no row.
+    pub fn decode(name: &str, text: &str) -> Result<Self, Error> {
+        serde_json::from_str(text)
+            .map_err(|error| Error::Row { name: name.to_owned(), detail: error.to_string() })
+    }
+
+    /// Returns the text for the table.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Returns every process that may renew leases under this row.
+    pub fn renewers(&self) -> impl Iterator<Item = &Process> {
+        self.guardian.iter().chain(&self.deputies).chain(&self.former)
+    }
+
+    /// Returns the position of a target.
+    #[must_use]
+    pub fn position(&self, vm: &Vm) -> Option<u32> {
+        self.targets.iter().position(|target| target.vm == *vm).map(|at| at as u32)
+    }
+
+    /// Returns the target that owns a slot.
+    #[must_use]
+    pub fn owner(&self, slot: &Slot) -> Option<&Target> {
+        slot.owner.and_then(|at| self.targets.get(at as usize))
+    }
+
+    /// Returns the shards that a target owns, with their fences.
+    #[must_use]
+    pub fn owned(&self, vm: &Vm) -> Vec<(Shard, Fence)> {
+        let position = self.position(vm);
+        let owned = self.slots.iter().filter(|slot| slot.owner.is_some() && slot.owner == position);
+        owned.map(|slot| (slot.shard, slot.fence)).collect()
+    }
+
+    /// Removes a target that owns nothing, keeping the positions of the others true.
+    pub fn remove_target(&mut self, vm: &Vm) {
+        let Some(removed) = self.position(vm) else { return };
+        self.targets.remove(removed as usize);
+        for slot in &mut self.slots {
+            slot.owner = match slot.owner {
+                Some(at) if at == removed => None,
+                Some(at) if at > removed => Some(at - 1),
+                unchanged => unchanged,
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/own/src/guardian.rs
@@ -0,0 +1,427 @@
+//! The decisions of a cell's guardian: who owns which shard, and why the one before does not.
+
+use {
+    crate::{
+        cell::{Row, Target},
+        decision::{Change, Decision, Proof},
+        election,
+        ledger::Ledger,
+        link::{Life, Link, Revocation},
+        node::{Action, View},
+        plan::{self, Bin, Budget},
+        renewer::Renewer,
+        stop,
+    },
+    conf::services::Fencing,
+    key::{Process, Shard, Vm, clock::Tick},
+    platform::vms,
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        time::Duration,
+    },
+};
+
+/// The time between two questions to a process that has not acknowledged its stop.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
+/// The most shards that move for balance at once, in one cell.
+const BALANCE_MOVES: usize = 8;
+
+/// The excess over the mean that balance leaves alone.
+const BALANCE_TOLERANCE: f64 = 0.10;
+
+/// The state of asking one process to stop.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    asked: Tick,
+    acked: bool,
+}
+
+/// The guardian of one cell.
+#[derive(Debug)]
+pub(crate) struct Guardian {
+    pub(crate) renewer: Renewer,
+    stops: BTreeMap<(Process, Option<Vm>), Stop>,
+    /// Targets that must not be renewed, since a write that takes their shards is not yet known
+    /// to have failed.
+    blocked: BTreeSet<Vm>,
+    /// Whether a write of this guardian is on its way.
+    writing: bool,
+    /// When balance was last considered.
+    balanced: Tick,
+}
+
+/// A row to write, and what will have been decided once it is written.
+#[derive(Debug)]
+pub(crate) struct Draft {
+    pub(crate) row: Row,
+    pub(crate) decisions: Vec<Decision>,
+    blocked: BTreeSet<Vm>,
+}
+
+impl Guardian {
+    pub(crate) fn new(renewer: Renewer, view: &View<'_>, ledger: &mut Ledger, now: Tick) -> Self {
+        // Whoever renewed before may have given a lease just now.
+        let end = now.plus(view.terms.ttl).plus(view.terms.drift);
+        for target in &renewer.row.targets {
+            ledger.extend(&renewer.row.name, &target.vm, end);
+        }
+        Self {
+            renewer,
+            stops: BTreeMap::new(),
+            blocked: BTreeSet::new(),
+            writing: false,
+            balanced: now,
+        }
+    }
+
+    /// Returns the targets that must not be renewed.
+    pub(crate) fn blocked(&self) -> BTreeSet<Vm> {
+        self.blocked.clone()
+    }
+
+    /// Tells whether a write is on its way.
+    pub(crate) const fn is_writing(&self) -> bool {
+        self.writing
+    }
+
+    /// Notes that the write of a draft was sent.
+    pub(crate) fn sent(&mut self, draft: &Draft) {
+        self.writing = true;
+        self.blocked = draft.blocked.clone();
+    }
+
+    /// Notes that the result of the write is known.
+    pub(crate) fn settled(&mut self) {
+        self.writing = false;
+        self.blocked.clear();
+    }
+
+    /// Forgets acknowledgements, which hold for one version of the row only.
+    pub(crate) fn rebased(&mut self) {
+        self.stops.clear();
+    }
+
+    /// Takes a promise to stop. The ledger already accounts for its last leases.
+    pub(crate) fn stop_acked(&mut self, process: &Process, target: Option<Vm>) {
+        if let Some(stop) = self.stops.get_mut(&(process.clone(), target)) {
+            stop.acked = true;
+        }
+    }
+
+    /// Asks every other renewer to stop renewing `vm`, and tells whether all have.
+    fn all_stopped(
+        &mut self,
+        vm: &Vm,
+        view: &View<'_>,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let row = std::sync::Arc::clone(&self.renewer.row);
+        let others = row.renewers().filter(|process| *process != view.me);
+        self.ask_stop(others, Some(vm), view, now, actions)
+    }
+
+    /// Asks processes to stop, and tells whether all have.
+    fn ask_stop<'a>(
+        &mut self,
+        processes: impl Iterator<Item = &'a Process>,
+        target: Option<&Vm>,
+        view: &View<'_>,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let row = &self.renewer.row;
+        let mut all = true;
+        for process in processes.filter(|process| !view.has_ended(process)) {
+            let key = (process.clone(), target.cloned());
+            let stop = self.stops.get(&key).copied();
+            if stop.is_some_and(|stop| stop.acked) {
+                continue;
+            }
+            all = false;
+            if stop.is_some_and(|stop| now.since(stop.asked) < ASK_AGAIN) {
+                continue;
+            }
+            self.stops.insert(key, Stop { asked: now, acked: false });
+            let ask = stop::Ask {
+                cell: row.name.clone(),
+                term: row.term,
+                version: self.renewer.version,
+                target: target.cloned(),
+            };
+            actions.push(Action::AskStop { process: process.clone(), ask });
+        }
+        all
+    }
+
+    /// Returns the proof that a target's ownership of everything has ended, if there is one.
+    fn loss(
+        &mut self,
+        vm: &Vm,
+        view: &View<'_>,
+        ledger: &Ledger,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) -> Option<Proof> {
+        if view.is_gone(vm) {
+            return Some(Proof::VmGone);
+        }
+        let heard = self.renewer.link(vm).filter(|link| link.life == Life::Suspected)?.heard;
+        if view.vouched.contains(vm) {
+            return Some(Proof::Operator);
+        }
+        let stopped = self.all_stopped(vm, view, now, actions);
+        let lapsed = ledger.end(&self.renewer.row.name, vm) <= now;
+        (stopped && lapsed).then_some(Proof::Lapsed { silent_for: now.since(heard) })
+    }
+
+    /// Returns the shards of a target whose revocation is proved, with the proof.
+    fn yielded(
+        &mut self,
+        vm: &Vm,
+        view: &View<'_>,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) -> Option<(BTreeSet<Shard>, Proof)> {
+        let revocation = self.renewer.link(vm)?.revocation.clone()?;
+        let acked = revocation.acked?;
+        if view.fencing == Fencing::Lease {
+            // The target would obey a delayed order, so every order given before must have run out.
+            let stopped = self.all_stopped(vm, view, now, actions);
+            if !stopped || now < revocation.former_end {
+                return None;
+            }
+        }
+        let free: BTreeSet<_> = revocation.shards.difference(&revocation.busy).copied().collect();
+        let proof = Proof::Revoked { took: acked.since(revocation.since) };
+        (!free.is_empty()).then_some((free, proof))
+    }
+
+    /// Considers everything that may need a change of the row.
+    pub(crate) fn draft(
+        &mut self,
+        view: &View<'_>,
+        ledger: &Ledger,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) -> Option<Draft> {
+        if self.writing {
+            return None;
+        }
+        self.abandon(view, now, actions);
+        self.revoke(view, ledger, now);
+        let mut draft = Draft {
+            row: (*self.renewer.row).clone(),
+            decisions: Vec::new(),
+            blocked: BTreeSet::new(),
+        };
+        self.draft_owners(&mut draft, view, ledger, now, actions);
+        self.draft_members(&mut draft, view);
+        self.draft_renewers(&mut draft, view, now, actions);
+        if draft.row.closing.take().is_some() {
+            draft.decisions.push(Decision::Reopened { cell: draft.row.name.clone() });
+        }
+        (!draft.decisions.is_empty()).then_some(draft)
+    }
+
+    fn draft_owners(
+        &mut self,
+        draft: &mut Draft,
+        view: &View<'_>,
+        ledger: &Ledger,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut orphans: BTreeMap<Shard, Proof> = BTreeMap::new();
+        let vms: Vec<Vm> = draft.row.targets.iter().map(|target| target.vm.clone()).collect();
+        for vm in &vms {
+            let owned = draft.row.owned(vm);
+            if owned.is_empty() {
+                continue;
+            }
+            if let Some(proof) = self.loss(vm, view, ledger, now, actions) {
+                draft.blocked.insert(vm.clone());
+                orphans.extend(owned.into_iter().map(|(shard, _)| (shard, proof.clone())));
+            } else if let Some((shards, proof)) = self.yielded(vm, view, now, actions) {
+                orphans.extend(shards.into_iter().map(|shard| (shard, proof.clone())));
+            }
+        }
+        let vacant = draft.row.slots.iter().filter(|slot| slot.owner.is_none());
+        orphans.extend(vacant.map(|slot| (slot.shard, Proof::Vacant)));
+        let bins = self.bins(view, &orphans);
+        let weights = orphans.keys().map(|shard| (*shard, view.weight(*shard))).collect();
+        let placed = plan::spread(&weights, &bins);
+        let changes = apply(&mut draft.row, &orphans, &placed);
+        if !changes.is_empty() {
+            let cell = draft.row.name.clone();
+            draft.decisions.push(Decision::Moved { cell, changes });
+        }
+    }
+
+    /// Returns the targets that can take shards, without the shards that are to be placed.
+    fn bins(&self, view: &View<'_>, orphans: &BTreeMap<Shard, Proof>) -> Vec<Bin> {
+        let row = &self.renewer.row;
+        let usable = self.renewer.links.iter().filter(|link| is_usable(link, view));
+        let bins = usable.map(|link| {
+            let owned = row.owned(&link.target.vm).into_iter();
+            let kept = owned.filter(|(shard, _)| !orphans.contains_key(shard));
+            let shards = kept.map(|(shard, _)| (shard, view.weight(shard))).collect();
+            Bin { vm: link.target.vm.clone(), shards }
+        });
+        bins.collect()
+    }
+
+    fn draft_members(&self, draft: &mut Draft, view: &View<'_>) {
+        let cell = draft.row.name.clone();
+        let mut joined = Vec::new();
+        for listed in view.targets_of(&cell) {
+            if listed.state == vms::State::Live && draft.row.position(&listed.vm).is_none() {
+                draft.row.targets.push(Target { vm: listed.vm.clone(), address: listed.address });
+                joined.push(listed.vm.clone());
+            }
+        }
+        let gone =
+            |target: &&Target| view.is_gone(&target.vm) && draft.row.owned(&target.vm).is_empty();
+        let left: Vec<Vm> =
+            draft.row.targets.iter().filter(gone).map(|target| target.vm.clone()).collect();
+        for vm in &left {
+            draft.row.remove_target(vm);
+        }
+        if !joined.is_empty() || !left.is_empty() {
+            draft.decisions.push(Decision::Members { cell, joined, left });
+        }
+    }
+
+    fn draft_renewers(
+        &mut self,
+        draft: &mut Draft,
+        view: &View<'_>,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) {
+        let row = std::sync::Arc::clone(&self.renewer.row);
+        let row = &*row;
+        let wanted = election::deputies(row, view, now);
+        let lost = row.deputies.iter().any(|deputy| !wanted.contains(deputy));
+        if lost || row.deputies.len() < wanted.len() {
+            draft.row.deputies = wanted;
+        }
+        let mut former = election::former(row, &draft.row, view);
+        let known = row.former.clone();
+        self.ask_stop(known.iter(), None, view, now, actions);
+        former.retain(|process| !self.has_released(process));
+        draft.row.former = former;
+        if draft.row.deputies != row.deputies || draft.row.former != row.former {
+            draft.decisions.push(Decision::Renewers {
+                cell: row.name.clone(),
+                deputies: draft.row.deputies.clone(),
+                former: draft.row.former.clone(),
+            });
+        }
+    }
+
+    fn has_released(&self, process: &Process) -> bool {
+        self.stops.get(&(process.clone(), None)).is_some_and(|stop| stop.acked)
+    }
+
+    /// Starts the planned moves: everything off targets that leave, and some for balance.
+    fn revoke(&mut self, view: &View<'_>, ledger: &Ledger, now: Tick) {
+        let row = std::sync::Arc::clone(&self.renewer.row);
+        let usable = self.renewer.links.iter().filter(|link| is_usable(link, view)).count();
+        if usable == 0 || !view.table_is_well(now) {
+            // A move whose write cannot be confirmed would leave its shards without an owner.
+            return;
+        }
+        let leaving: Vec<Vm> =
+            self.renewer.links.iter().filter(|link| is_leaving(link, view)).map(vm).collect();
+        for vm in leaving {
+            let shards = row.owned(&vm).into_iter().map(|(shard, _)| shard).collect();
+            self.start_revocation(&vm, shards, ledger, now);
+        }
+        if now.since(self.balanced) < view.balance_every {
+            return;
+        }
+        self.balanced = now;
+        if self.renewer.links.iter().any(|link| link.revocation.is_some()) {
+            return;
+        }
+        let bins = self.bins(view, &BTreeMap::new());
+        let budget = Budget { moves: BALANCE_MOVES, tolerance: BALANCE_TOLERANCE };
+        if let Some((vm, shards)) = plan::relieve(&bins, budget) {
+            self.start_revocation(&vm, shards, ledger, now);
+        }
+    }
+
+    fn start_revocation(&mut self, vm: &Vm, shards: BTreeSet<Shard>, ledger: &Ledger, now: Tick) {
+        let former_end = ledger.end(&self.renewer.row.name, vm);
+        let row = std::sync::Arc::clone(&self.renewer.row);
+        let Some(link) = self.renewer.link_mut(vm) else { return };
+        if shards.is_empty() || link.revocation.is_some() || !link.is_live() {
+            return;
+        }
+        link.seq += 1;
+        link.revocation =
+            Some(Revocation { shards, since: now, former_end, acked: None, busy: BTreeSet::new() });
+        link.refresh(&row, now);
+        link.due = now;
+    }
+
+    /// Gives up planned moves whose requests in flight last too long.
+    fn abandon(&mut self, view: &View<'_>, now: Tick, actions: &mut Vec<Action>) {
+        let row = std::sync::Arc::clone(&self.renewer.row);
+        for link in &mut self.renewer.links {
+            let Some(revocation) = &link.revocation else { continue };
+            if now.since(revocation.since) < view.terms.drain || is_leaving(link, view) {
+                continue;
+            }
+            link.revocation = None;
+            link.seq += 1;
+            link.refresh(&row, now);
+            let target = link.target.vm.clone();
+            actions.push(Action::Record(Decision::Abandoned { cell: row.name.clone(), target }));
+        }
+    }
+}
+
+fn vm(link: &Link) -> Vm {
+    link.target.vm.clone()
+}
+
+fn is_leaving(link: &Link, view: &View<'_>) -> bool {
+    link.leaving || view.is_leaving_vm(&link.target.vm)
+}
+
+fn is_usable(link: &Link, view: &View<'_>) -> bool {
+    link.is_live() && !is_leaving(link, view) && !view.is_gone(&link.target.vm)
+}
+
+/// Writes the new owners into the row; an orphan without a place stays without an owner.
+fn apply(
+    row: &mut Row,
+    orphans: &BTreeMap<Shard, Proof>,
+    placed: &BTreeMap<Shard, Vm>,
+) -> Vec<Change> {
+    let positions: HashMap<Vm, u32> =
+        row.targets.iter().enumerate().map(|(at, target)| (target.vm.clone(), at as u32)).collect();
+    let mut changes = Vec::new();
+    for slot in &mut row.slots {
+        let Some(proof) = orphans.get(&slot.shard) else { continue };
+        let to = placed.get(&slot.shard);
+        let owner = to.and_then(|vm| positions.get(vm)).copied();
+        if owner == slot.owner {
+            continue;
+        }
+        let from = slot.owner.and_then(|at| row.targets.get(at as usize));
+        slot.owner = owner;
+        slot.fence = slot.fence.next();
+        changes.push(Change {
+            shard: slot.shard,
+            from: from.map(|target| target.vm.clone()),
+            to: to.cloned(),
+            fence: slot.fence,
+            proof: proof.clone(),
+        });
+    }
+    changes
+}
--- /dev/null
+++ b/crates/own/src/ledger.rs
@@ -0,0 +1,47 @@
+//! The last possible end of the leases that this process gave.
+
+use {
+    crate::cell,
+    key::{Vm, clock::Tick},
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Outlives every role, because a promise outlives the right to give another.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    ends: HashMap<cell::Name, HashMap<Vm, Tick>>,
+}
+
+impl Ledger {
+    /// Notes that a lease of `vm` may run until `end`.
+    pub(crate) fn extend(&mut self, cell: &cell::Name, vm: &Vm, end: Tick) {
+        let ends = self.ends.entry(cell.clone()).or_default();
+        let known = ends.entry(vm.clone()).or_default();
+        *known = end.max(*known);
+    }
+
+    /// Forgets the leases of `vm`, whose process is proved to have ended.
+    pub(crate) fn clear(&mut self, cell: &cell::Name, vm: &Vm) {
+        if let Some(ends) = self.ends.get_mut(cell) {
+            ends.remove(vm);
+        }
+    }
+
+    /// Returns the last possible end of a lease of `vm`.
+    pub(crate) fn end(&self, cell: &cell::Name, vm: &Vm) -> Tick {
+        self.ends.get(cell).and_then(|ends| ends.get(vm)).copied().unwrap_or_default()
+    }
+
+    /// Returns how long a lease of `vm`, or of any target of the cell, may still run.
+    pub(crate) fn remaining(&self, cell: &cell::Name, vm: Option<&Vm>, now: Tick) -> Duration {
+        let end = match vm {
+            Some(vm) => self.end(cell, vm),
+            None => self
+                .ends
+                .get(cell)
+                .and_then(|ends| ends.values().max().copied())
+                .unwrap_or_default(),
+        };
+        end.since(now)
+    }
+}
--- /dev/null
+++ b/crates/own/src/lib.rs
@@ -0,0 +1,29 @@
+/*!
+Who owns which shard, decided without input or output.
+
+Each decision is a function of the state, an event and the time: nothing here reads a clock, draws a
+number or sends a byte. [`Node`] holds what one entry process knows and answers each [`Event`] with
+[`Action`]s that the control thread carries out. So a lapse, a pause, a lost answer or a reordering
+is a row in a table of tests. The rules that keep one owner are in docs/OWNERSHIP.md.
+*/
+
+pub mod cell;
+pub mod decision;
+mod election;
+mod error;
+mod guardian;
+pub mod lease;
+mod ledger;
+mod link;
+mod node;
+pub mod plan;
+mod renewer;
+mod rescue;
+pub mod stop;
+
+pub use crate::{
+    cell::Row,
+    decision::Decision,
+    error::Error,
+    node::{Action, Config, Event, Node, Peer, Role, Write},
+};
--- /dev/null
+++ b/crates/own/src/link.rs
@@ -0,0 +1,94 @@
+//! What a renewer knows of one target.
+
+use {
+    crate::{cell, lease},
+    key::{Incarnation, Shard, clock::Tick},
+    std::collections::BTreeSet,
+};
+
+/// The target's clock as read from an answer, and when the answer arrived.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reading {
+    pub(crate) target_ms: u64,
+    pub(crate) received: Tick,
+}
+
+/// The life of a target in the eyes of a renewer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Life {
+    /// It has not answered yet.
+    Unknown,
+    /// It answers and is renewed.
+    Live,
+    /// It was silent for too long; it is asked for its clock but renewed no more.
+    Suspected,
+}
+
+/// A planned move of shards away from a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Revocation {
+    pub(crate) shards: BTreeSet<Shard>,
+    pub(crate) since: Tick,
+    /// The last possible end of the leases given before the revocation.
+    pub(crate) former_end: Tick,
+    pub(crate) acked: Option<Tick>,
+    pub(crate) busy: BTreeSet<Shard>,
+}
+
+/// The state of the exchange with one target.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) target: cell::Target,
+    pub(crate) incarnation: Option<Incarnation>,
+    pub(crate) reading: Option<Reading>,
+    pub(crate) heard: Tick,
+    pub(crate) due: Tick,
+    pub(crate) in_flight: bool,
+    pub(crate) set: Vec<lease::Held>,
+    pub(crate) digest: u64,
+    pub(crate) held: Option<u64>,
+    pub(crate) life: Life,
+    pub(crate) leaving: bool,
+    pub(crate) seq: u64,
+    pub(crate) revocation: Option<Revocation>,
+}
+
+impl Link {
+    pub(crate) fn new(target: cell::Target, now: Tick) -> Self {
+        Self {
+            target,
+            incarnation: None,
+            reading: None,
+            heard: now,
+            due: now,
+            in_flight: false,
+            set: Vec::new(),
+            digest: 0,
+            held: None,
+            life: Life::Unknown,
+            leaving: false,
+            seq: 0,
+            revocation: None,
+        }
+    }
+
+    /// Works out the lease from the row, less what is being revoked.
+    pub(crate) fn refresh(&mut self, row: &cell::Row, now: Tick) {
+        let revoked = self.revocation.as_ref().map(|revocation| &revocation.shards);
+        let owned = row.owned(&self.target.vm).into_iter();
+        self.set = owned
+            .filter(|(shard, _)| !revoked.is_some_and(|shards| shards.contains(shard)))
+            .map(|(shard, fence)| lease::Held { shard, fence })
+            .collect();
+        let digest = lease::digest(&self.set);
+        if digest != self.digest {
+            self.digest = digest;
+            self.due = now;
+        }
+    }
+
+    /// Tells whether the target can be given shards.
+    pub(crate) const fn is_live(&self) -> bool {
+        matches!(self.life, Life::Live)
+    }
+}
--- /dev/null
+++ b/crates/own/src/node.rs
@@ -0,0 +1,663 @@
+//! Everything that one entry process knows and decides about ownership.
+
+mod event;
+mod view;
+mod writes;
+
+pub(crate) use self::{event::Sent, view::View};
+pub use self::{
+    event::{Action, Event, Write},
+    view::{Config, Peer, Role},
+};
+
+use {
+    self::{
+        view::World,
+        writes::{Pending, Purpose, Writes},
+    },
+    crate::{
+        Error,
+        cell::{self, Row},
+        decision::Decision,
+        election::{self, Verdict},
+        guardian::{Draft, Guardian},
+        ledger::Ledger,
+        renewer::{Meaning, Renewer, Rights},
+        rescue::{self, Rescue, Step},
+        stop,
+    },
+    conf::services::{Isolation, Text},
+    key::{Process, Shard, Version, Vm, clock::Tick},
+    platform::Commit,
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// The time the list of VMs must stand still before the first rows of a service are written.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// The time shards stay without owner in a cell that has no targets before others get them.
+const VACANT_BEFORE_TRANSFER: Duration = Duration::from_millis(200);
+
+/// The part that this process plays for one cell.
+#[derive(Debug)]
+enum Part {
+    Observer,
+    Deputy(Renewer),
+    Guardian(Box<Guardian>),
+}
+
+/// One cell as this process knows it.
+#[derive(Debug)]
+struct Cell {
+    row: Arc<Row>,
+    version: Version,
+    part: Part,
+    rescue: Rescue,
+    changed: Tick,
+    /// When the last look at the table began that showed no intent to take the cell over.
+    looked: Option<Tick>,
+}
+
+/// The ownership state of one entry process.
+#[derive(Debug)]
+pub struct Node {
+    world: World,
+    cells: BTreeMap<cell::Name, Cell>,
+    ledger: Ledger,
+    writes: Writes,
+    /// The promises not to renew, each valid up to a version of the row.
+    stopped: HashMap<(cell::Name, Option<Vm>), Version>,
+    read_at: Option<Tick>,
+    resigning: bool,
+    generation: u64,
+}
+
+impl Node {
+    /// Returns a process that knows nothing and has promised nothing.
+    #[must_use]
+    pub fn new(config: Config, now: Tick) -> Self {
+        let writes = Writes::new(config.me.incarnation);
+        Self {
+            world: World::new(config, now),
+            cells: BTreeMap::new(),
+            ledger: Ledger::default(),
+            writes,
+            stopped: HashMap::new(),
+            read_at: None,
+            resigning: false,
+            generation: 0,
+        }
+    }
+
+    /// Returns a number that grows whenever a row, and so possibly an owner, changes.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns the rows with their versions.
+    pub fn rows(&self) -> impl Iterator<Item = (Version, &Arc<Row>)> {
+        self.cells.values().map(|cell| (cell.version, &cell.row))
+    }
+
+    /// Returns the part that this process plays for a cell.
+    #[must_use]
+    pub fn role(&self, name: &cell::Name) -> Role {
+        match self.cells.get(name).map(|cell| &cell.part) {
+            Some(Part::Guardian(_)) => Role::Guardian,
+            Some(Part::Deputy(_)) => Role::Deputy,
+            _ => Role::Observer,
+        }
+    }
+
+    /// Returns when the last successful look at the table began.
+    #[must_use]
+    pub const fn read_at(&self) -> Option<Tick> {
+        self.read_at
+    }
+
+    /// Tells whether the process has handed over everything and may end.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let guards = |cell: &Cell| matches!(cell.part, Part::Guardian(_));
+        self.writes.is_empty() && !self.cells.values().any(guards)
+    }
+
+    /// Returns what is known of the processes of the fleet and how long each has been silent.
+    pub fn peers(&self, now: Tick) -> impl Iterator<Item = (&Peer, Duration)> {
+        self.world.peers(now)
+    }
+
+    /// Takes an event and returns what has to be done.
+    pub fn handle(&mut self, event: Event, now: Tick) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.world.expire(now);
+        match event {
+            Event::Tick => {}
+            Event::Table { began, rows } => {
+                for (version, row) in rows {
+                    self.adopt(version, row, now, &mut actions);
+                }
+                self.looked(began);
+            }
+            Event::Row { version, row } => self.adopt(version, row, now, &mut actions),
+            Event::Services(text) => self.world.set_services(text),
+            Event::Vms(list) => {
+                self.world.set_vms(list, now);
+                self.note_ended(now);
+            }
+            Event::Peer(peer) => {
+                self.world.heard(peer, now);
+                self.note_ended(now);
+            }
+            Event::Ended(process) => {
+                self.world.farewell(process, now);
+                self.note_ended(now);
+            }
+            Event::Vouched(vm) => {
+                self.world.vouch(vm, now);
+                self.note_ended(now);
+            }
+            Event::Drained(vms) => self.world.set_drained(vms),
+            Event::Loads { service, loads } => self.world.set_loads(service, loads),
+            Event::Answered { cell, vm, sent, received, answer } => {
+                self.answered(&cell, &vm, sent, received, &answer, now, &mut actions);
+            }
+            Event::Failed { cell, vm } => {
+                if let Some(renewer) = self.renewer_mut(&cell) {
+                    renewer.failed(&vm);
+                }
+            }
+            Event::Written { id, result } => self.written(id, result, now, &mut actions),
+            Event::StopAcked { ask, ack, received } => self.stop_acked(&ask, &ack, received),
+            Event::Resign => self.resigning = true,
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Promises another process to stop renewing, if its row is not out of date.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Stale`] if a newer row is known here; nothing is promised then.
+    pub fn stop(&mut self, ask: &stop::Ask, now: Tick) -> Result<stop::Ack, Error> {
+        if let Some(cell) = self.cells.get_mut(&ask.cell) {
+            let guards = matches!(cell.part, Part::Guardian(_));
+            if cell.version > ask.version || (guards && cell.row.term >= ask.term) {
+                return Err(Error::Stale(ask.cell.clone()));
+            }
+            if guards || ask.target.is_none() {
+                cell.part = Part::Observer;
+            }
+        }
+        let promise = self.stopped.entry((ask.cell.clone(), ask.target.clone())).or_default();
+        *promise = ask.version.max(*promise);
+        let ends_in = self.ledger.remaining(&ask.cell, ask.target.as_ref(), now);
+        Ok(stop::Ack { process: self.world.me().clone(), ends_in })
+    }
+
+    fn renewer_mut(&mut self, name: &cell::Name) -> Option<&mut Renewer> {
+        match &mut self.cells.get_mut(name)?.part {
+            Part::Guardian(guardian) => Some(&mut guardian.renewer),
+            Part::Deputy(renewer) => Some(renewer),
+            Part::Observer => None,
+        }
+    }
+
+    /// Takes note of a look at the table.
+    fn looked(&mut self, began: Tick) {
+        self.read_at = Some(self.read_at.unwrap_or_default().max(began));
+        for cell in self.cells.values_mut().filter(|cell| cell.row.closing.is_none()) {
+            cell.looked = Some(cell.looked.unwrap_or_default().max(began));
+        }
+    }
+
+    /// Takes a row if it is newer than the one known.
+    fn adopt(&mut self, version: Version, row: Row, now: Tick, actions: &mut Vec<Action>) {
+        let row = Arc::new(row);
+        let name = row.name.clone();
+        if self.cells.get(&name).is_some_and(|cell| cell.version >= version) {
+            return;
+        }
+        self.generation += 1;
+        self.stopped.retain(|(cell, _), promised| *cell != name || *promised >= version);
+        let before = self.cells.remove(&name);
+        let looked = before.as_ref().and_then(|cell| cell.looked);
+        let (part, rescue) =
+            before.map_or((Part::Observer, Rescue::default()), |cell| (cell.part, cell.rescue));
+        let guards = row.guardian.as_ref() == Some(self.world.me());
+        let view = self.world.view(&name.service, self.resigning, self.read_at);
+        let part = match part {
+            Part::Guardian(mut guardian) if guards => {
+                guardian.renewer.rebase(Arc::clone(&row), version, now);
+                guardian.rebased();
+                Part::Guardian(guardian)
+            }
+            Part::Guardian(_) => {
+                if !self.resigning {
+                    let decision = Decision::Superseded { cell: name.clone(), term: row.term };
+                    actions.push(Action::Record(decision));
+                }
+                Part::Observer
+            }
+            Part::Deputy(mut renewer) if guards || row.deputies.contains(self.world.me()) => {
+                renewer.rebase(Arc::clone(&row), version, now);
+                if guards {
+                    guard(renewer, &view, &mut self.ledger, now)
+                } else {
+                    Part::Deputy(renewer)
+                }
+            }
+            _ if guards && !self.resigning => {
+                let renewer = Renewer::new(Arc::clone(&row), version, now);
+                guard(renewer, &view, &mut self.ledger, now)
+            }
+            _ => Part::Observer,
+        };
+        self.cells.insert(name, Cell { row, version, part, rescue, changed: now, looked });
+    }
+
+    /// Accounts for leases that a process may have given just before it was known to have ended.
+    fn note_ended(&mut self, now: Tick) {
+        let fresh = self.world.take_freshly_ended();
+        if fresh.is_empty() {
+            return;
+        }
+        let end = now.plus(self.world.terms().ttl).plus(self.world.terms().drift);
+        for cell in self.cells.values() {
+            if !cell.row.renewers().any(|process| fresh.contains(process)) {
+                continue;
+            }
+            for target in &cell.row.targets {
+                self.ledger.extend(&cell.row.name, &target.vm, end);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "the fields of one event")]
+    fn answered(
+        &mut self,
+        name: &cell::Name,
+        vm: &Vm,
+        sent: Sent,
+        received: Tick,
+        answer: &crate::lease::Answer,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) {
+        self.world.unvouch(vm);
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        let renewer = match &mut cell.part {
+            Part::Guardian(guardian) => &mut guardian.renewer,
+            Part::Deputy(renewer) => renewer,
+            Part::Observer => return,
+        };
+        let meaning = renewer.answered(vm, sent, received, answer, &mut self.ledger, actions);
+        if let Meaning::Superseded(stamp) = meaning {
+            let decision = Decision::Superseded { cell: name.clone(), term: stamp.term };
+            actions.push(Action::Record(decision));
+            cell.part = Part::Observer;
+            cell.changed = now;
+        }
+    }
+
+    fn stop_acked(&mut self, ask: &stop::Ask, ack: &stop::Ack, received: Tick) {
+        let Some(cell) = self.cells.get_mut(&ask.cell) else { return };
+        if cell.version != ask.version {
+            return;
+        }
+        let end = received.plus(ack.ends_in).plus(self.world.terms().drift);
+        for target in &cell.row.targets {
+            if ask.target.as_ref().is_none_or(|vm| *vm == target.vm) {
+                self.ledger.extend(&ask.cell, &target.vm, end);
+            }
+        }
+        if let Part::Guardian(guardian) = &mut cell.part {
+            guardian.stop_acked(&ack.process, ask.target.clone());
+        }
+    }
+
+    fn advance(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        self.writes.resend(now, actions);
+        self.create(now, actions);
+        let names: Vec<cell::Name> = self.cells.keys().cloned().collect();
+        for name in names {
+            self.advance_cell(&name, now, actions);
+        }
+    }
+
+    /// Writes the first rows of services that have none.
+    fn create(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        if self.resigning || self.read_at.is_none() || !self.world.is_settled(SETTLE, now) {
+            return;
+        }
+        for rows in self.world.missing(|name| self.cells.contains_key(name)) {
+            let Some(first) = rows.first() else { continue };
+            if self.writes.is_busy(&first.name) {
+                continue;
+            }
+            let cells = rows.iter().map(|row| row.name.clone()).collect();
+            let decisions = vec![Decision::Created { cells }];
+            let rows: Vec<_> = rows.into_iter().map(|row| (Version::ZERO, row)).collect();
+            self.writes.start(Purpose::Create, rows, decisions, actions);
+        }
+    }
+
+    fn advance_cell(&mut self, name: &cell::Name, now: Tick, actions: &mut Vec<Action>) {
+        let view = self.world.view(&name.service, self.resigning, self.read_at);
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        if name.zone != *self.world.zone() {
+            self.consider_rescue(name, now, actions);
+            return;
+        }
+        if self.resigning {
+            self.resign(name, now, actions);
+            return;
+        }
+        let until = renew_until(&view, cell.looked);
+        let rights = Rights { me: view.me, terms: view.terms, until };
+        match &mut cell.part {
+            Part::Guardian(guardian) => {
+                guardian.renewer.suspect(now, view.terms, actions);
+                let draft = guardian.draft(&view, &self.ledger, now, actions);
+                let draft = draft.filter(|_| self.writes.may_start(name, now));
+                if let Some(draft) = &draft {
+                    guardian.sent(draft);
+                }
+                let blocked = guardian.blocked();
+                let stopped = |vm: &Vm| blocked.contains(vm);
+                guardian.renewer.renew(now, rights, &mut self.ledger, stopped, actions);
+                if let Some(Draft { row, decisions, .. }) = draft {
+                    let rows = vec![(cell.version, row)];
+                    self.writes.start(Purpose::Guard(name.clone()), rows, decisions, actions);
+                } else if !guardian.is_writing() {
+                    self.give_away(name, now, actions);
+                }
+            }
+            Part::Deputy(_) | Part::Observer => self.stand_by(name, now, actions),
+        }
+    }
+
+    /// Acts for a cell of the own zone that another process guards.
+    fn stand_by(&mut self, name: &cell::Name, now: Tick, actions: &mut Vec<Action>) {
+        let view = self.world.view(&name.service, self.resigning, self.read_at);
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        let verdict = election::judge(&cell.row, &view, now);
+        let released = self.stopped.contains_key(&(name.clone(), None));
+        let Verdict::Claim(ground) = verdict else {
+            if matches!(cell.part, Part::Deputy(_)) {
+                cell.part = Part::Observer;
+            }
+            return;
+        };
+        let is_deputy = cell.row.deputies.contains(view.me) && !released;
+        if is_deputy && matches!(cell.part, Part::Observer) {
+            let renewer = Renewer::new(Arc::clone(&cell.row), cell.version, now);
+            cell.part = Part::Deputy(renewer);
+            actions.push(Action::Record(Decision::Standing {
+                cell: name.clone(),
+                guardian: cell.row.guardian.clone(),
+            }));
+        }
+        if self.writes.may_start(name, now) && self.read_at.is_some() {
+            let row = election::claim(&cell.row, &view, now);
+            let decision = Decision::Guarding {
+                cell: name.clone(),
+                term: row.term,
+                before: cell.row.guardian.clone(),
+                ground,
+            };
+            let rows = vec![(cell.version, row)];
+            self.writes.start(Purpose::Claim, rows, vec![decision], actions);
+        }
+        if let Part::Deputy(renewer) = &mut cell.part {
+            let until = renew_until(&view, cell.looked);
+            let rights = Rights { me: view.me, terms: view.terms, until };
+            let stopped = |vm: &Vm| self.stopped.contains_key(&(name.clone(), Some(vm.clone())));
+            renewer.renew(now, rights, &mut self.ledger, stopped, actions);
+        }
+    }
+
+    /// Hands shards that cannot be served here to cells that can.
+    fn give_away(&mut self, name: &cell::Name, now: Tick, actions: &mut Vec<Action>) {
+        let Some(cell) = self.cells.get(name) else { return };
+        let vacant = cell.row.slots.iter().any(|slot| slot.owner.is_none());
+        if !vacant || now.since(cell.changed) < VACANT_BEFORE_TRANSFER {
+            return;
+        }
+        self.transfer(
+            name,
+            |slot| slot.owner.is_none(),
+            crate::decision::Proof::Vacant,
+            now,
+            actions,
+        );
+    }
+
+    fn consider_rescue(&mut self, name: &cell::Name, now: Tick, actions: &mut Vec<Action>) {
+        if self.resigning || !self.is_rescuer(name, now) || !self.writes.may_start(name, now) {
+            return;
+        }
+        let view = self.world.view(&name.service, false, self.read_at);
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        match cell.rescue.step(&cell.row, cell.version, view.isolation, &view, now) {
+            Step::Wait => {}
+            Step::Mark => {
+                let mut row = (*cell.row).clone();
+                row.closing = Some(cell::Closing { by: view.me.clone() });
+                let decisions = vec![Decision::Closing { cell: name.clone() }];
+                let rows = vec![(cell.version, row)];
+                self.writes.start(Purpose::Mark(name.clone()), rows, decisions, actions);
+            }
+            Step::Take(proof) => self.transfer(name, |_| true, proof, now, actions),
+        }
+    }
+
+    /// Tells whether this process is the one that would rescue a cell of another zone.
+    fn is_rescuer(&self, name: &cell::Name, now: Tick) -> bool {
+        let subject = name.to_string();
+        let cells = self.receivers(name, now);
+        let best = cells.iter().max_by_key(|(other, _)| key::rank(&subject, &other.to_string()));
+        best.is_some_and(|(other, _)| self.role(other) == Role::Guardian)
+    }
+
+    /// Returns the cells of the service, other than `name`, that can take shards.
+    fn receivers(&self, name: &cell::Name, now: Tick) -> Vec<(cell::Name, Version)> {
+        let view = self.world.view(&name.service, self.resigning, self.read_at);
+        let able = |cell: &Cell| {
+            let guardian = cell.row.guardian.as_ref();
+            let guarded = guardian.is_some_and(|process| view.is_alive(process, now));
+            guarded && cell.row.targets.iter().any(|target| view.is_serving(&target.vm))
+        };
+        let others = self.cells.iter().filter(|(other, cell)| {
+            other.service == name.service
+                && *other != name
+                && cell.row.closing.is_none()
+                && able(cell)
+        });
+        others.map(|(other, cell)| (other.clone(), cell.version)).collect()
+    }
+
+    fn transfer(
+        &mut self,
+        name: &cell::Name,
+        leaves: impl Fn(&cell::Slot) -> bool,
+        proof: crate::decision::Proof,
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) {
+        let receivers = self.receivers(name, now);
+        let busy = receivers.iter().any(|(other, _)| self.writes.is_busy(other));
+        if receivers.is_empty() || busy || !self.writes.may_start(name, now) {
+            return;
+        }
+        let Some(cell) = self.cells.get(name) else { return };
+        let to: Vec<(cell::Name, &Row)> =
+            receivers.iter().map(|(other, _)| (other.clone(), &*self.cells[other].row)).collect();
+        let (mut source, rows, counts) = rescue::transfer(&cell.row, leaves, &to);
+        if name.zone != *self.world.zone() {
+            source.term = source.term.next();
+            source.former = source.renewers().cloned().collect();
+            source.guardian = None;
+            source.deputies.clear();
+        }
+        let mut writes = vec![(cell.version, source)];
+        writes.extend(receivers.iter().map(|(_, version)| *version).zip(rows));
+        let decision = Decision::Transferred { cell: name.clone(), to: counts, proof };
+        self.writes.start(Purpose::Transfer, writes, vec![decision], actions);
+    }
+
+    /// Gives a cell to a successor, renewing nothing from now on.
+    fn resign(&mut self, name: &cell::Name, now: Tick, actions: &mut Vec<Action>) {
+        let view = self.world.view(&name.service, true, self.read_at);
+        let Some(cell) = self.cells.get_mut(name) else { return };
+        if !matches!(cell.part, Part::Guardian(_)) || !self.writes.may_start(name, now) {
+            return;
+        }
+        let candidates = election::candidates(&cell.row, &view, now);
+        let Some(successor) = candidates.first().cloned() else {
+            cell.part = Part::Observer;
+            return;
+        };
+        let mut row = (*cell.row).clone();
+        row.term = row.term.next();
+        row.guardian = Some(successor.clone());
+        row.deputies.retain(|deputy| *deputy != successor && !view.has_ended(deputy));
+        let decision = Decision::Resigned { cell: name.clone(), to: successor };
+        let rows = vec![(cell.version, row)];
+        self.writes.start(Purpose::Resign(name.clone()), rows, vec![decision], actions);
+    }
+
+    fn written(&mut self, id: u64, result: Commit, now: Tick, actions: &mut Vec<Action>) {
+        let Some(pending) = self.writes.take(id) else { return };
+        match result {
+            Commit::Committed(versions) => self.committed(pending, &versions, now, actions),
+            Commit::Conflict(rows) => self.conflicted(pending, &rows, now, actions),
+            Commit::Refused if !pending.uncertain => {
+                self.settle(&pending);
+                self.writes.back_off(&pending, now);
+                self.drop_resigned(&pending);
+            }
+            Commit::Refused | Commit::Ambiguous => {
+                if !pending.uncertain
+                    && let Some((_, row)) = pending.rows.first()
+                {
+                    let decision = Decision::Unconfirmed { cell: row.name.clone() };
+                    actions.push(Action::Record(decision));
+                }
+                self.drop_resigned(&pending);
+                self.writes.retry(pending, now);
+            }
+        }
+    }
+
+    fn committed(
+        &mut self,
+        pending: Pending,
+        versions: &[Version],
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) {
+        self.settle(&pending);
+        actions.extend(pending.decisions.into_iter().map(Action::Record));
+        for (version, (_, row)) in versions.iter().zip(pending.rows) {
+            actions.push(Action::Publish { version: *version, row: row.clone() });
+            self.adopt(*version, row, now, actions);
+        }
+        if let (Purpose::Mark(name), Some(version)) = (&pending.purpose, versions.first())
+            && let Some(cell) = self.cells.get_mut(name)
+        {
+            cell.rescue.marked(*version, now);
+        }
+    }
+
+    fn conflicted(
+        &mut self,
+        pending: Pending,
+        rows: &[platform::Row],
+        now: Tick,
+        actions: &mut Vec<Action>,
+    ) {
+        let decoded: Vec<(Version, Row)> = rows
+            .iter()
+            .filter_map(|row| {
+                Some((row.version, Row::decode(&row.name, row.value.as_ref()?).ok()?))
+            })
+            .collect();
+        let landed = |(base, ours): &(Version, Row)| {
+            let is_ours = |(version, row): &(Version, Row)| {
+                row.name == ours.name && *version == base.next() && row.token == ours.token
+            };
+            decoded.iter().any(is_ours)
+        };
+        if pending.rows.iter().any(landed) {
+            let versions: Vec<Version> = pending.rows.iter().map(|(base, _)| base.next()).collect();
+            self.committed(pending, &versions, now, actions);
+        } else {
+            self.settle(&pending);
+        }
+        for (version, row) in decoded {
+            self.adopt(version, row, now, actions);
+        }
+    }
+
+    /// Tells the guardian that wrote that the result is known.
+    fn settle(&mut self, pending: &Pending) {
+        if let Purpose::Guard(name) = &pending.purpose
+            && let Some(cell) = self.cells.get_mut(name)
+            && let Part::Guardian(guardian) = &mut cell.part
+        {
+            guardian.settled();
+        }
+    }
+
+    /// A process that stops without the table has nothing more to do than to renew no longer.
+    fn drop_resigned(&mut self, pending: &Pending) {
+        if let Purpose::Resign(name) = &pending.purpose
+            && let Some(cell) = self.cells.get_mut(name)
+        {
+            cell.part = Part::Observer;
+        }
+    }
+
+    /// Returns the weights of the shards of a service, as far as they are known.
+    #[must_use]
+    pub fn loads(&self, service: &key::Service) -> Option<&HashMap<Shard, f64>> {
+        self.world.loads(service)
+    }
+
+    /// Returns the processes that have not stopped and could still renew a target's lease.
+    #[must_use]
+    pub fn awaited(&self, name: &cell::Name) -> Vec<Process> {
+        let Some(cell) = self.cells.get(name) else { return Vec::new() };
+        let view = self.world.view(&name.service, self.resigning, self.read_at);
+        let others = cell.row.renewers().filter(|process| *process != view.me);
+        others.filter(|process| !view.has_ended(process)).cloned().collect()
+    }
+
+    /// Returns the text of services in force here.
+    #[must_use]
+    pub const fn services(&self) -> &Arc<Text> {
+        self.world.services()
+    }
+}
+
+fn guard(renewer: Renewer, view: &View<'_>, ledger: &mut Ledger, now: Tick) -> Part {
+    Part::Guardian(Box::new(Guardian::new(renewer, view, ledger, now)))
+}
+
+/// Returns the latest clock reading on which a lease may rest, where isolation sets a limit.
+fn renew_until(view: &View<'_>, looked: Option<Tick>) -> Option<Tick> {
+    match view.isolation {
+        Isolation::Hold => None,
+        Isolation::MoveAfterMs(limit) => {
+            let limit = Duration::from_millis(limit.get());
+            Some(looked.map_or(Tick::default(), |looked| looked.plus(limit)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/own/src/node/event.rs
@@ -0,0 +1,192 @@
+//! What a node is told, and what it asks for.
+
+use {
+    crate::{
+        cell::{self, Row},
+        decision::Decision,
+        lease::{Answer, Offer},
+        node::Peer,
+        stop,
+    },
+    conf::services::Text,
+    key::{Process, Service, Shard, Stamp, Version, Vm, clock::Tick},
+    platform::{
+        Commit,
+        table::{self, Condition, Transaction},
+        vms::Listed,
+    },
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
+};
+
+/// What an answer refers to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// The stamp of the order.
+    pub stamp: Stamp,
+    /// The digest of its shards.
+    pub digest: u64,
+    /// Whether it gave a lease or only asked for the clock.
+    pub leased: bool,
+}
+
+impl From<&Offer> for Sent {
+    fn from(offer: &Offer) -> Self {
+        Self { stamp: offer.stamp, digest: offer.digest, leased: offer.deadline_ms.is_some() }
+    }
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time went by.
+    Tick,
+    /// The table was read; the rows are those that changed.
+    Table {
+        /// When the look began.
+        began: Tick,
+        /// The rows.
+        rows: Vec<(Version, Row)>,
+    },
+    /// A peer sent a row.
+    Row {
+        /// Its version.
+        version: Version,
+        /// The row.
+        row: Row,
+    },
+    /// A new operators' text is in force.
+    Services(Arc<Text>),
+    /// The list of VMs was read.
+    Vms(Vec<Listed>),
+    /// A peer was heard, over a connection to its own address.
+    Peer(Peer),
+    /// A process said that it renews nothing any more.
+    Ended(Process),
+    /// An operator vouched that everything on a VM has ended.
+    Vouched(Vm),
+    /// The targets that operators want to be emptied.
+    Drained(BTreeSet<Vm>),
+    /// The weights of the shards of a service.
+    Loads {
+        /// The service.
+        service: Service,
+        /// The weights.
+        loads: HashMap<Shard, f64>,
+    },
+    /// A target answered an order.
+    Answered {
+        /// The cell.
+        cell: cell::Name,
+        /// The target.
+        vm: Vm,
+        /// What was asked.
+        sent: Sent,
+        /// When the answer arrived.
+        received: Tick,
+        /// The answer.
+        answer: Answer,
+    },
+    /// An order got no answer.
+    Failed {
+        /// The cell.
+        cell: cell::Name,
+        /// The target.
+        vm: Vm,
+    },
+    /// The result of a write.
+    Written {
+        /// The write.
+        id: u64,
+        /// The result.
+        result: Commit,
+    },
+    /// A process promised to stop.
+    StopAcked {
+        /// What it was asked.
+        ask: stop::Ask,
+        /// Its promise.
+        ack: stop::Ack,
+        /// When the promise arrived.
+        received: Tick,
+    },
+    /// This process will stop.
+    Resign,
+}
+
+/// Rows to write together, each if it still has the version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The number under which the result is reported.
+    pub id: u64,
+    /// The rows with the versions they must have.
+    pub rows: Vec<(Version, Row)>,
+}
+
+impl Write {
+    /// Returns the transaction for the table.
+    ///
+    /// The first rows of a service go with a marker that must be absent: two processes with
+    /// different lists of VMs would otherwise deal the same shards to different cells.
+    #[must_use]
+    pub fn transaction(&self) -> Transaction {
+        let mut transaction = Transaction::default();
+        let fresh = |(base, row): &&(Version, Row)| *base == Version::ZERO && !row.slots.is_empty();
+        if let Some((_, row)) = self.rows.iter().find(fresh) {
+            let name = SmolStr::from(format!("dealt/{}", row.name.service));
+            transaction.conditions.push(Condition { name: name.clone(), version: Version::ZERO });
+            transaction.writes.push(table::Write { name, value: Some(row.token.to_string()) });
+        }
+        for (version, row) in &self.rows {
+            let name = SmolStr::from(row.name.row_name());
+            transaction.conditions.push(Condition { name: name.clone(), version: *version });
+            transaction.writes.push(table::Write { name, value: Some(row.encode()) });
+        }
+        transaction
+    }
+
+    /// Returns the result with the versions of the rows alone, without the marker's.
+    #[must_use]
+    pub fn result(&self, result: Commit) -> Commit {
+        match result {
+            Commit::Committed(versions) => {
+                let markers = versions.len().saturating_sub(self.rows.len());
+                Commit::Committed(versions.into_iter().skip(markers).collect())
+            }
+            other => other,
+        }
+    }
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send an order to a target.
+    Offer {
+        /// The target.
+        target: cell::Target,
+        /// The order.
+        offer: Offer,
+    },
+    /// Ask a process to stop renewing.
+    AskStop {
+        /// The process.
+        process: Process,
+        /// What to ask.
+        ask: stop::Ask,
+    },
+    /// Write to the table.
+    Write(Write),
+    /// Tell the peers of a row that was written.
+    Publish {
+        /// Its version.
+        version: Version,
+        /// The row.
+        row: Row,
+    },
+    /// Put a decision on record.
+    Record(Decision),
+}
--- /dev/null
+++ b/crates/own/src/rescue.rs
@@ -0,0 +1,129 @@
+//! Taking over the shards of a cell whose availability zone is cut off or has ended.
+//!
+//! The zone's own renewers must have stopped. Where they cannot be asked, the rule is: under
+//! `move_after_ms` no lease may rest on a reading of a target's clock that is more than that limit
+//! younger than the renewer's last look at the table. An intent in the table, once it is known to be
+//! written, is seen by every later look; so after the limit and one more life of a lease, either
+//! somebody of the zone has withdrawn the intent or nobody of the zone can renew.
+
+use {
+    crate::{
+        cell::{self, Row, Slot},
+        decision::Proof,
+        node::View,
+    },
+    conf::services::Isolation,
+    key::{Version, clock::Tick},
+    std::time::Duration,
+};
+
+/// The pause after an intent that was withdrawn.
+const BACKOFF: Duration = Duration::from_secs(15);
+
+/// How many times the limit for a lost peer a zone must be silent before anything is considered.
+const SILENT_PEERS: u32 = 3;
+
+/// What to do about a cell of another zone.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Nothing now.
+    Wait,
+    /// Declare the intent to take over.
+    Mark,
+    /// Take over, on this proof.
+    Take(Proof),
+}
+
+/// What one process knows of the rescue of one cell.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) enum Rescue {
+    /// No intent of this process is in the table.
+    #[default]
+    Watching,
+    /// The intent stands under this version since this time.
+    Marked { version: Version, at: Tick },
+    /// An intent was withdrawn; the next may follow after this time.
+    Resting(Tick),
+}
+
+impl Rescue {
+    /// Notes that the intent is known to be written.
+    pub(crate) fn marked(&mut self, version: Version, at: Tick) {
+        *self = Self::Marked { version, at };
+    }
+
+    /// Considers the cell.
+    pub(crate) fn step(
+        &mut self,
+        row: &Row,
+        version: Version,
+        isolation: Isolation,
+        view: &View<'_>,
+        now: Tick,
+    ) -> Step {
+        if let Self::Marked { version: marked, .. } = *self
+            && version > marked
+        {
+            *self = Self::Resting(now.plus(BACKOFF));
+        }
+        if row.slots.is_empty() || !is_silent(row, view, now) {
+            return Step::Wait;
+        }
+        let life = view.terms.ttl + view.terms.drift;
+        if let Some(ended) = view.all_ended(row) {
+            let silent_for = now.since(ended);
+            return if silent_for >= life {
+                Step::Take(Proof::Lapsed { silent_for })
+            } else {
+                Step::Wait
+            };
+        }
+        let Isolation::MoveAfterMs(limit) = isolation else { return Step::Wait };
+        match *self {
+            Self::Resting(until) if now < until => Step::Wait,
+            Self::Watching | Self::Resting(_) => Step::Mark,
+            Self::Marked { at, .. } => {
+                let silent_for = now.since(at);
+                let enough = Duration::from_millis(limit.get()) + life + view.terms.drift;
+                if silent_for >= enough {
+                    Step::Take(Proof::Lapsed { silent_for })
+                } else {
+                    Step::Wait
+                }
+            }
+        }
+    }
+}
+
+fn is_silent(row: &Row, view: &View<'_>, now: Tick) -> bool {
+    let patience = view.terms.peer_lost * SILENT_PEERS;
+    let listening = now.since(view.started) >= patience;
+    let quiet = row.renewers().all(|process| view.silence(process, now) >= patience);
+    listening && quiet && view.alive_in(&row.name.zone, now).is_empty()
+}
+
+/// Returns the rows that hand the shards chosen by `leaves` to other cells, without owners.
+pub(crate) fn transfer(
+    from: &Row,
+    leaves: impl Fn(&Slot) -> bool,
+    to: &[(cell::Name, &Row)],
+) -> (Row, Vec<Row>, Vec<(cell::Name, usize)>) {
+    let mut source = from.clone();
+    let (going, staying): (Vec<Slot>, Vec<Slot>) = from.slots.iter().partition(|slot| leaves(slot));
+    source.slots = staying;
+    source.closing = None;
+    let mut rows: Vec<Row> = to.iter().map(|(_, row)| (*row).clone()).collect();
+    let mut counts: Vec<_> = to.iter().map(|(name, _)| (name.clone(), 0)).collect();
+    for slot in going {
+        let lightest =
+            (0..rows.len()).min_by_key(|&at| rows[at].slots.len() / rows[at].targets.len().max(1));
+        let Some(lightest) = lightest else { break };
+        let vacant = Slot { owner: None, fence: slot.fence.next(), ..slot };
+        rows[lightest].slots.push(vacant);
+        counts[lightest].1 += 1;
+    }
+    for row in &mut rows {
+        row.slots.sort_by_key(|slot| slot.shard);
+    }
+    (source, rows, counts)
+}
--- /dev/null
+++ b/crates/peer/src/rpc.rs
@@ -0,0 +1,181 @@
+//! The remote calls.
+
+// The code that the service attribute generates carries no documentation of its own.
+#![allow(missing_docs)]
+
+use {
+    crate::{Error, Hello, Refused, State, Versioned, Welcome},
+    futures::{StreamExt, future},
+    key::Process,
+    own::{Row, stop},
+    report::{Record, burn::Line},
+    route::quarantine::Strike,
+    std::{future::Future, io, net::SocketAddr, time::Duration},
+    tarpc::{
+        client, context,
+        serde_transport::tcp,
+        server::{BaseChannel, Channel},
+        tokio_serde::formats::Json,
+    },
+    tokio::{task::JoinSet, time},
+};
+
+const FRAME_LIMIT_BYTES: usize = 64 << 20;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What an entry answers to its peers.
+#[tarpc::service]
+pub trait Fleet {
+    /// Gives a sign of life.
+    async fn hello(hello: Hello) -> Result<Welcome, Refused>;
+    /// Takes rows that were just written.
+    async fn publish(rows: Vec<Versioned<Row>>) -> Result<(), Refused>;
+    /// Takes a new operators' text.
+    async fn configure(text: Versioned<String>) -> Result<(), Refused>;
+    /// Promises to stop renewing.
+    async fn stop(ask: stop::Ask) -> Result<stop::Ack, Refused>;
+    /// Gives everything that a fresh process needs.
+    async fn sync() -> State;
+    /// Takes the word of a process that it renews nothing any more.
+    async fn farewell(process: Process) -> Result<(), Refused>;
+    /// Takes strikes against a request.
+    async fn strike(strike: Strike) -> Result<(), Refused>;
+    /// Gives the newest records of the decision log.
+    async fn records(limit: u32) -> Vec<Record>;
+    /// Gives the burn of each service as seen there.
+    async fn burn() -> Vec<Line>;
+}
+
+/// A connection to a peer that has welcomed this process.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: FleetClient,
+    timeout: Duration,
+}
+
+/// Opens a connection, without a word yet.
+///
+/// # Errors
+///
+/// Returns [`Error::Connect`] if the peer cannot be reached.
+pub async fn connect(to: SocketAddr, timeout: Duration) -> Result<Client, Error> {
+    let mut connecting = tcp::connect(to, Json::default);
+    connecting.config_mut().max_frame_length(FRAME_LIMIT_BYTES);
+    let transport = time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let inner = FleetClient::new(client::Config::default(), transport).spawn();
+    Ok(Client { inner, timeout })
+}
+
+impl Client {
+    fn context(&self) -> context::Context {
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + self.timeout;
+        context
+    }
+
+    /// Asks for a sign of life.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] if the peer belongs to another cluster or speaks another version.
+    pub async fn hello(&self, hello: Hello) -> Result<Welcome, Error> {
+        Ok(self.inner.hello(self.context(), hello).await??)
+    }
+
+    /// Sends rows that were just written.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the peer may not have taken them.
+    pub async fn publish(&self, rows: Vec<Versioned<Row>>) -> Result<(), Error> {
+        Ok(self.inner.publish(self.context(), rows).await??)
+    }
+
+    /// Sends a new operators' text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the peer may not have taken it.
+    pub async fn configure(&self, text: Versioned<String>) -> Result<(), Error> {
+        Ok(self.inner.configure(self.context(), text).await??)
+    }
+
+    /// Asks the peer to stop renewing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the peer has not promised it.
+    pub async fn stop(&self, ask: stop::Ask) -> Result<stop::Ack, Error> {
+        Ok(self.inner.stop(self.context(), ask).await??)
+    }
+
+    /// Asks for everything that a fresh process needs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if no answer comes.
+    pub async fn sync(&self) -> Result<State, Error> {
+        Ok(self.inner.sync(self.context()).await?)
+    }
+
+    /// Tells the peer that `process` renews nothing any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the peer may not have taken it.
+    pub async fn farewell(&self, process: Process) -> Result<(), Error> {
+        Ok(self.inner.farewell(self.context(), process).await??)
+    }
+
+    /// Asks for the newest records of the peer's decision log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if no answer comes.
+    pub async fn records(&self, limit: u32) -> Result<Vec<Record>, Error> {
+        Ok(self.inner.records(self.context(), limit).await?)
+    }
+
+    /// Asks for the burn of each service as the peer saw it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if no answer comes.
+    pub async fn burn(&self) -> Result<Vec<Line>, Error> {
+        Ok(self.inner.burn(self.context()).await?)
+    }
+
+    /// Sends a strike against a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the peer may not have taken it.
+    pub async fn strike(&self, strike: Strike) -> Result<(), Error> {
+        Ok(self.inner.strike(self.context(), strike).await??)
+    }
+}
+
+/// Answers peers on `address` with `server`; the future that is returned never ends.
+///
+/// # Errors
+///
+/// Returns the system's error if the address cannot be bound. The address is held for the life of
+/// the process, which is what makes an answer of another incarnation a proof of its end.
+pub async fn listen<S>(address: SocketAddr, server: S) -> io::Result<impl Future<Output = ()>>
+where
+    S: Fleet + Clone + 'static,
+{
+    let mut listener = tcp::listen(&address, Json::default).await?;
+    listener.config_mut().max_frame_length(FRAME_LIMIT_BYTES);
+    Ok(async move {
+        let mut channels = JoinSet::new();
+        let mut incoming = listener.filter_map(|transport| future::ready(transport.ok()));
+        while let Some(transport) = incoming.next().await {
+            let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+            channels.spawn_local(requests.for_each_concurrent(None, |answer| answer));
+            while channels.try_join_next().is_some() {}
+        }
+    })
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,126 @@
+//! The client of the platform.
+
+use {
+    crate::{
+        Error, ErrorKind,
+        table::{Answer, Commit, Row, Scan, Transaction},
+        vms::List,
+    },
+    http::Method,
+    std::{net::SocketAddr, time::Duration},
+};
+
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How the platform is reached.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl Config {
+    /// Describes a platform at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self { address, timeout: DEFAULT_TIMEOUT }
+    }
+
+    /// Sets the time one exchange may take.
+    #[must_use]
+    pub const fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Builds the client.
+    #[must_use]
+    pub fn build(self) -> Client {
+        Client {
+            address: self.address,
+            wire: wire::Config::default().timeout(self.timeout).build(),
+        }
+    }
+}
+
+/// A client of the table, the object store and the list of VMs.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    wire: wire::Client,
+}
+
+impl Client {
+    /// Commits a transaction.
+    pub async fn commit(&self, transaction: &Transaction) -> Commit {
+        match self.wire.post(self.address, "/table/commit", transaction).await {
+            Ok(Answer::Committed(versions)) => Commit::Committed(versions),
+            Ok(Answer::Conflict(rows)) => Commit::Conflict(rows),
+            Err(error) => match Error::from(error).kind() {
+                ErrorKind::Refused => Commit::Refused,
+                _ => Commit::Ambiguous,
+            },
+        }
+    }
+
+    /// Reads the rows whose name starts with `prefix` and that changed after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the platform gives no answer.
+    pub async fn scan(&self, prefix: &str, revision: u64) -> Result<Scan, Error> {
+        let path = format!("/table/scan?prefix={prefix}&after={revision}");
+        Ok(self.wire.get(self.address, &path).await?)
+    }
+
+    /// Reads one row; an absent one has version zero and no text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the platform gives no answer.
+    pub async fn read(&self, name: &str) -> Result<Row, Error> {
+        let path = format!("/table/row?name={name}");
+        Ok(self.wire.get(self.address, &path).await?)
+    }
+
+    /// Stores an object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the object may not have been stored.
+    pub async fn put_object(&self, name: &str, body: Vec<u8>) -> Result<(), Error> {
+        let path = format!("/objects/{name}");
+        self.wire.send(Method::PUT, self.address, &path, body.into()).await?;
+        Ok(())
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Absent`] if there is none of that name.
+    pub async fn get_object(&self, name: &str) -> Result<Vec<u8>, Error> {
+        let path = format!("/objects/{name}");
+        let bytes = self.wire.send(Method::GET, self.address, &path, Vec::new().into()).await?;
+        Ok(bytes.to_vec())
+    }
+
+    /// Returns the names of the objects that start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the platform gives no answer.
+    pub async fn list_objects(&self, prefix: &str) -> Result<Vec<String>, Error> {
+        let path = format!("/objects?prefix={prefix}");
+        Ok(self.wire.get(self.address, &path).await?)
+    }
+
+    /// Reads the list of VMs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the platform gives no answer.
+    pub async fn vms(&self) -> Result<List, Error> {
+        Ok(self.wire.get(self.address, "/vms").await?)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,58 @@
+//! The failures of the platform.
+
+use std::fmt;
+
+/// Why the platform gave no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The request did not take effect: it was not sent, or the platform refused it.
+    Refused,
+    /// The request may have taken effect.
+    Ambiguous,
+    /// The object does not exist.
+    Absent,
+    /// The answer is not what the platform's interface promises.
+    Malformed,
+}
+
+/// A failed exchange with the platform.
+#[derive(Clone, Debug)]
+pub struct Error {
+    kind: ErrorKind,
+    cause: wire::Error,
+}
+
+impl Error {
+    /// Returns why the exchange failed.
+    #[must_use]
+    pub const fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+}
+
+impl From<wire::Error> for Error {
+    fn from(cause: wire::Error) -> Self {
+        const NOT_FOUND: u16 = 404;
+        const UNAVAILABLE: u16 = 503;
+        let kind = match cause.kind() {
+            wire::ErrorKind::Unsent | wire::ErrorKind::Status(UNAVAILABLE) => ErrorKind::Refused,
+            wire::ErrorKind::Status(NOT_FOUND) => ErrorKind::Absent,
+            wire::ErrorKind::Malformed | wire::ErrorKind::TooLarge(_) => ErrorKind::Malformed,
+            _ => ErrorKind::Ambiguous,
+        };
+        Self { kind, cause }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "platform: {}", self.cause)
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.cause)
+    }
+}
--- /dev/null
+++ b/crates/route/src/locate.rs
@@ -0,0 +1,33 @@
+//! The service and the key that a request names.
+
+use {
+    crate::Reason,
+    conf::services::{KeyRule, Keyed},
+};
+
+/// Returns the first segment of a path, which names the service.
+#[must_use]
+pub fn service(path: &str) -> &str {
+    segment(path, 0).unwrap_or_default()
+}
+
+/// Returns the key of a request.
+///
+/// # Errors
+///
+/// Returns [`Reason::NoKey`] if the request has none where the rule expects it.
+pub fn key<'a>(
+    keyed: &Keyed,
+    path: &'a str,
+    header: impl Fn(&str) -> Option<&'a str>,
+) -> Result<&'a str, Reason> {
+    let found = match &keyed.key {
+        KeyRule::Segment(at) => segment(path, at.get() as usize),
+        KeyRule::Header(name) => header(name),
+    };
+    found.filter(|key| !key.is_empty()).ok_or(Reason::NoKey)
+}
+
+fn segment(path: &str, at: usize) -> Option<&str> {
+    path.split('/').skip(1).nth(at)
+}
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,93 @@
+//! An open-loop load: requests start at fixed times, however long earlier ones take.
+
+use {
+    hdrhistogram::Histogram,
+    http::{Method, Request},
+    http_body_util::{BodyExt, Full},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time},
+};
+
+const HIGHEST_MICROS: u64 = 60_000_000;
+const DIGITS: u8 = 3;
+
+/// A load.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The addresses that take turns.
+    pub to: Vec<SocketAddr>,
+    /// The requests a second.
+    pub rate: f64,
+    /// How long requests are started.
+    pub span: Duration,
+    /// The path, in which `{}` stands for the number of the key.
+    pub path: String,
+    /// The number of keys that take turns.
+    pub keys: u64,
+    /// Headers of each request.
+    pub headers: Vec<(String, String)>,
+}
+
+/// What came of a load.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The latency of each answer in microseconds, from the moment it should have started.
+    pub micros: Histogram<u64>,
+    /// The number of answers of each status; zero stands for no answer.
+    pub statuses: BTreeMap<u16, u64>,
+}
+
+/// Runs a load.
+///
+/// # Panics
+///
+/// Panics if the histogram cannot be made, which its constants rule out.
+pub async fn run(config: &Config) -> Report {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    let client: Client<_, Full<bytes::Bytes>> =
+        Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+    let micros =
+        Histogram::new_with_bounds(1, HIGHEST_MICROS, DIGITS).expect("the bounds are valid");
+    let report = Arc::new(Mutex::new(Report { micros, statuses: BTreeMap::new() }));
+    let start = Instant::now();
+    let total = (config.rate * config.span.as_secs_f64()) as u64;
+    let mut tasks = JoinSet::new();
+    for number in 0..total {
+        let due = start + Duration::from_secs_f64(number as f64 / config.rate);
+        time::sleep_until(due.into()).await;
+        let to = config.to[number as usize % config.to.len()];
+        let path = config.path.replace("{}", &(number % config.keys).to_string());
+        let mut builder = Request::builder().method(Method::GET).uri(format!("http://{to}{path}"));
+        for (name, value) in &config.headers {
+            builder = builder.header(name, value);
+        }
+        let Ok(request) = builder.body(Full::default()) else { continue };
+        let (client, report) = (client.clone(), Arc::clone(&report));
+        tasks.spawn(async move {
+            let status = match client.request(request).await {
+                Ok(response) => {
+                    let status = response.status().as_u16();
+                    response.into_body().collect().await.map_or(0, |_| status)
+                }
+                Err(_) => 0,
+            };
+            let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+            report.micros.saturating_record(due.elapsed().as_micros() as u64);
+            *report.statuses.entry(status).or_default() += 1;
+        });
+        while tasks.try_join_next().is_some() {}
+    }
+    while tasks.join_next().await.is_some() {}
+    let report = report.lock().unwrap_or_else(PoisonError::into_inner);
+    report.clone()
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,282 @@
+//! The stand-ins as processes.
+
+use {
+    bytes::Bytes,
+    conf::services::Fencing,
+    gumdrop::Options,
+    http::{Request, Response, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    key::{Incarnation, Vm},
+    rand::Rng,
+    smol_str::SmolStr,
+    standin::{
+        check,
+        journal::{self, Journal},
+        load,
+        platform::Platform,
+        proxy::Proxy,
+        target::{self, Target},
+    },
+    std::{
+        error::Error,
+        net::SocketAddr,
+        path::PathBuf,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::net::TcpListener,
+};
+
+/// Stand-ins for the platform and the targets, for tests and demonstrations.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run the table, the object store and the list of VMs")]
+    Platform(PlatformArguments),
+    #[options(help = "run one target")]
+    Target(TargetArguments),
+    #[options(help = "carry TCP connections and inject faults")]
+    Proxy(ProxyArguments),
+    #[options(help = "send requests at a fixed rate and print the latencies")]
+    Load(LoadArguments),
+    #[options(help = "read the journals of a folder and print what they prove")]
+    Check(CheckArguments),
+    #[options(help = "send one request and print its answer")]
+    Request(RequestArguments),
+}
+
+#[derive(Debug, Options)]
+struct PlatformArguments {
+    help: bool,
+    #[options(required, meta = "IP:PORT", help = "where to listen")]
+    listen: Option<SocketAddr>,
+    #[options(meta = "FILE", help = "where to write the journal")]
+    journal: Option<PathBuf>,
+}
+
+#[derive(Debug, Options)]
+struct TargetArguments {
+    help: bool,
+    #[options(required, meta = "IP:PORT", help = "where to listen")]
+    listen: Option<SocketAddr>,
+    #[options(meta = "FILE", help = "where to write the journal")]
+    journal: Option<PathBuf>,
+    #[options(required, help = "the name of the VM")]
+    vm: String,
+    #[options(required, help = "the service it runs")]
+    service: String,
+    #[options(no_short, help = "own keys under leases")]
+    keyed: bool,
+    #[options(no_short, help = "keep to the lease's deadline but compare no fences")]
+    unfenced: bool,
+    #[options(no_short, default = "2", help = "requests worked on at once")]
+    slots: usize,
+    #[options(no_short, default = "64", help = "requests that may wait")]
+    queue: usize,
+    #[options(no_short, default = "130", help = "connections accepted")]
+    connections: usize,
+    #[options(no_short, default = "1", help = "milliseconds of work of a request")]
+    work_ms: u64,
+    #[options(no_short, default = "0", help = "milliseconds its clock is ahead")]
+    clock_offset_ms: u64,
+}
+
+#[derive(Debug, Options)]
+struct ProxyArguments {
+    help: bool,
+    #[options(required, meta = "IP:PORT", help = "where to listen")]
+    listen: Option<SocketAddr>,
+    #[options(required, meta = "IP:PORT", help = "where to connect")]
+    to: Option<SocketAddr>,
+    #[options(required, meta = "IP:PORT", help = "where to take faults")]
+    admin: Option<SocketAddr>,
+}
+
+#[derive(Debug, Options)]
+struct LoadArguments {
+    help: bool,
+    #[options(required, meta = "IP:PORT", help = "where to send, may be repeated")]
+    to: Vec<SocketAddr>,
+    #[options(default = "500", help = "requests a second")]
+    rate: f64,
+    #[options(default = "5", help = "seconds")]
+    seconds: u64,
+    #[options(required, help = "the path, with {} for the key")]
+    path: String,
+    #[options(default = "1000", help = "keys that take turns")]
+    keys: u64,
+    #[options(meta = "NAME=VALUE", help = "a header of each request, may be repeated")]
+    header: Vec<String>,
+}
+
+#[derive(Debug, Options)]
+struct CheckArguments {
+    help: bool,
+    #[options(free, required, help = "the folder")]
+    folder: PathBuf,
+}
+
+#[derive(Debug, Options)]
+struct RequestArguments {
+    help: bool,
+    #[options(default = "GET", help = "the method")]
+    method: String,
+    #[options(default = "", help = "the body")]
+    body: String,
+    #[options(meta = "NAME=VALUE", help = "a header, may be repeated")]
+    header: Vec<String>,
+    #[options(no_short, help = "try again for so many seconds until the status is 200")]
+    wait: Option<u64>,
+    #[options(no_short, help = "print only the status and the headers named x-")]
+    brief: bool,
+    #[options(free, required, help = "the URL")]
+    url: String,
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    match arguments.command {
+        Some(Command::Platform(arguments)) => runtime.block_on(platform(arguments)),
+        Some(Command::Target(arguments)) => runtime.block_on(target(arguments)),
+        Some(Command::Proxy(arguments)) => runtime.block_on(proxy(arguments)),
+        Some(Command::Load(arguments)) => {
+            runtime.block_on(load(arguments));
+            Ok(())
+        }
+        Some(Command::Check(arguments)) => check(&arguments),
+        Some(Command::Request(arguments)) => runtime.block_on(request(&arguments)),
+        None => {
+            eprintln!("{}", Arguments::usage());
+            std::process::exit(2);
+        }
+    }
+}
+
+async fn bind(address: Option<SocketAddr>) -> Result<TcpListener, Box<dyn Error>> {
+    let address = address.ok_or("an address is missing")?;
+    Ok(TcpListener::bind(address).await?)
+}
+
+async fn platform(arguments: PlatformArguments) -> Result<(), Box<dyn Error>> {
+    let incarnation = Incarnation::from(rand::rng().random::<u64>());
+    let journal = Journal::open(arguments.journal.as_deref(), Vm::from("platform"), incarnation)?;
+    Platform::new(journal).serve(bind(arguments.listen).await?).await;
+    Ok(())
+}
+
+async fn target(arguments: TargetArguments) -> Result<(), Box<dyn Error>> {
+    let incarnation = Incarnation::from(rand::rng().random::<u64>());
+    let vm = Vm::from(arguments.vm.as_str());
+    let listener = bind(arguments.listen).await?;
+    let journal = Journal::open(arguments.journal.as_deref(), vm.clone(), incarnation)?;
+    let config = target::Config {
+        vm,
+        service: SmolStr::from(arguments.service),
+        keyed: arguments.keyed,
+        fencing: if arguments.unfenced { Fencing::Lease } else { Fencing::Full },
+        slots: arguments.slots,
+        queue: arguments.queue,
+        connections: arguments.connections,
+        work_ms: arguments.work_ms,
+        clock_offset_ms: arguments.clock_offset_ms,
+    };
+    Target::new(config, incarnation, journal).serve(listener).await;
+    Ok(())
+}
+
+async fn proxy(arguments: ProxyArguments) -> Result<(), Box<dyn Error>> {
+    let listener = bind(arguments.listen).await?;
+    let admin = bind(arguments.admin).await?;
+    let to = arguments.to.ok_or("an address is missing")?;
+    Arc::new(Proxy::default()).serve(listener, to, admin).await;
+    Ok(())
+}
+
+async fn load(arguments: LoadArguments) {
+    let pairs = arguments.header.iter().filter_map(|header| header.split_once('='));
+    let config = load::Config {
+        to: arguments.to,
+        rate: arguments.rate,
+        span: Duration::from_secs(arguments.seconds),
+        path: arguments.path,
+        keys: arguments.keys.max(1),
+        headers: pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+    };
+    let report = load::run(&config).await;
+    let micros = &report.micros;
+    println!("requests {} statuses {:?}", micros.len(), report.statuses);
+    for quantile in [0.5, 0.9, 0.99, 0.999] {
+        println!("p{} {} us", quantile * 100.0, micros.value_at_quantile(quantile));
+    }
+}
+
+fn check(arguments: &CheckArguments) -> Result<(), Box<dyn Error>> {
+    let lines = journal::read_all(&arguments.folder)?;
+    let overlaps = check::overlaps(&lines);
+    let strays = check::strays(&lines);
+    let doubled = check::runs(&lines).into_values().filter(|runs| *runs > 1).count();
+    println!(
+        "{} lines: {} overlaps of ownership, {} runs without ownership, {doubled} ids run twice",
+        lines.len(),
+        overlaps.len(),
+        strays.len(),
+    );
+    for overlap in overlaps.iter().take(5) {
+        println!("{overlap:?}");
+    }
+    if overlaps.is_empty() && strays.is_empty() && doubled == 0 {
+        Ok(())
+    } else {
+        std::process::exit(1)
+    }
+}
+
+/// The pause between two tries of a request that waits.
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
+
+async fn request(arguments: &RequestArguments) -> Result<(), Box<dyn Error>> {
+    let deadline = Instant::now() + Duration::from_secs(arguments.wait.unwrap_or_default());
+    loop {
+        let result = send(arguments).await;
+        let good = result.as_ref().is_ok_and(|response| response.status() == StatusCode::OK);
+        if good || Instant::now() >= deadline {
+            return print(result?, arguments.brief);
+        }
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
+}
+
+async fn send(arguments: &RequestArguments) -> Result<Response<Bytes>, Box<dyn Error>> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let mut builder = Request::builder().method(arguments.method.as_str()).uri(&arguments.url);
+    for header in &arguments.header {
+        let (name, value) = header.split_once('=').ok_or("a header is NAME=VALUE")?;
+        builder = builder.header(name, value);
+    }
+    let request = builder.body(Full::new(Bytes::from(arguments.body.clone())))?;
+    let (parts, body) = client.request(request).await?.into_parts();
+    Ok(Response::from_parts(parts, body.collect().await?.to_bytes()))
+}
+
+fn print(response: Response<Bytes>, brief: bool) -> Result<(), Box<dyn Error>> {
+    let mut line = response.status().as_u16().to_string();
+    for (name, value) in response.headers() {
+        if name.as_str().starts_with("x-") {
+            line.push_str(&format!(" {name}={}", value.to_str()?));
+        }
+    }
+    println!("{line}");
+    if !brief {
+        println!("{}", String::from_utf8_lossy(response.body()));
+    }
+    Ok(())
+}
