--- a/crates/entry/src/control/fleet.rs
+++ b/crates/entry/src/control/fleet.rs
@@ -94,6 +94,7 @@
     let Ok(client) = peer::connect(address, limit).await else { return };
     let mut known: Option<Process> = None;
     loop {
+        let asked = Tick::now();
         let welcome = match client.hello(hello.clone()).await {
             Ok(welcome) => welcome,
             Err(error) => {
@@ -111,7 +112,7 @@
                 inputs.send(Input::Synced(state)).await;
             }
         }
-        inputs.send(Input::Welcomed(welcome)).await;
+        inputs.send(Input::Welcomed { welcome, asked }).await;
         time::sleep(limit / HELLOS_PER_LIMIT as u32).await;
     }
     if let Some(process) = known {
--- a/crates/entry/src/control/input.rs
+++ b/crates/entry/src/control/input.rs
@@ -25,7 +25,7 @@
     /// The list of VMs.
     Vms(List),
     /// A peer gave a sign of life.
-    Welcomed(Welcome),
+    Welcomed { welcome: Welcome, asked: key::clock::Tick },
     /// Everything a peer knows.
     Synced(State),
     /// A new operators' text from a peer.
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -154,10 +154,10 @@
             Input::Table { began, rows } => return self.table(began, rows, now),
             Input::TableSilent => self.note_table(false),
             Input::Vms(list) => return self.list(list, now),
-            Input::Welcomed(welcome) => {
+            Input::Welcomed { welcome, asked } => {
                 let peer = fleet::peer_of(&welcome);
                 self.welcomes.insert(peer.process.vm.clone(), welcome);
-                return self.node.handle(Event::Peer(peer), now);
+                return self.node.handle(Event::Peer { peer, asked }, now);
             }
             Input::Synced(state) => return self.sync(state, now),
             Input::Configured(text) => return self.configure(text, None, now),
@@ -332,13 +332,9 @@
         for (name, service) in &snapshot.services {
             let (count, unserved) = service.live.take_counts();
             self.burn.add(name, bucket, count);
-            let vacant = match &service.route {
-                Route::Keyed(owners) => owners.iter().all(Option::is_none),
-                Route::Any(targets) => targets.is_empty(),
-            };
             let failing =
                 count.total >= DOWN_FROM && unserved as f64 > count.total as f64 * DOWN_ABOVE;
-            service.live.down.store(vacant || failing, Ordering::Relaxed);
+            service.live.down.store(failing, Ordering::Relaxed);
         }
         let metrics = &self.shared.metrics;
         metrics.gauge("config.version", self.in_force.version.get());
@@ -489,7 +485,7 @@
             found.push(ServiceStatus {
                 name: conf.name.clone(),
                 keyed: conf.keyed.is_some(),
-                down: service.live.down.load(Ordering::Relaxed),
+                down: service.is_vacant() || service.live.down.load(Ordering::Relaxed),
                 targets: targets.collect(),
             });
         }
--- a/crates/entry/src/control/target.rs
+++ b/crates/entry/src/control/target.rs
@@ -5,7 +5,7 @@
     conf::Settings,
     key::clock::Tick,
     own::{
-        Event, cell,
+        Answered, Event, cell,
         lease::{self, Answer, Offer},
     },
     std::time::Duration,
@@ -28,7 +28,7 @@
     let received = Tick::now();
     let (cell, vm) = (offer.cell, target.vm);
     let event = match answer {
-        Ok(answer) => Event::Answered { cell, vm, sent, received, answer },
+        Ok(answer) => Event::Answered(Answered { cell, vm, sent, received, answer }),
         Err(_) => Event::Failed { cell, vm },
     };
     inputs.send(Input::Event(event)).await;
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -40,6 +40,14 @@
 }
 
 impl Service {
+    /// Tells whether nobody can serve any request of the service.
+    pub(crate) fn is_vacant(&self) -> bool {
+        match &self.route {
+            Route::Keyed(owners) => owners.iter().all(Option::is_none),
+            Route::Any(targets) => targets.is_empty(),
+        }
+    }
+
     /// Returns the owner of a shard.
     pub(crate) fn owner(&self, shard: Shard) -> Option<Owner> {
         match &self.route {
--- a/crates/entry/src/traffic/handle.rs
+++ b/crates/entry/src/traffic/handle.rs
@@ -9,7 +9,6 @@
             body::{Body, Relay},
             claim::Claim,
             refuse,
-            service::Live,
             target::{Connection, Target},
         },
     },
@@ -269,9 +268,9 @@
         return Ok(());
     }
     let snapshot = shared.snapshot.load();
-    let down = |live: &Live| live.down.load(Ordering::Relaxed);
+    let down = |needed: &Service| needed.is_vacant() || needed.live.down.load(Ordering::Relaxed);
     let needed = service.needs.iter().filter_map(|name| snapshot.services.get(name));
-    if needed.into_iter().any(|needed| down(&needed.live)) {
+    if needed.into_iter().any(|needed| down(needed)) {
         return Err(Refusal::not_run(Reason::DependencyDown));
     }
     Ok(())
--- a/crates/own/src/guardian.rs
+++ b/crates/own/src/guardian.rs
@@ -247,7 +247,10 @@
                 orphans.extend(shards.into_iter().map(|shard| (shard, proof.clone())));
             }
         }
-        let vacant = draft.row.slots.iter().filter(|slot| slot.owner.is_none());
+        // Before every target has answered or been silent for too long, the first one to answer
+        // would get everything.
+        let known = self.renewer.links.iter().all(|link| link.life != Life::Unknown);
+        let vacant = draft.row.slots.iter().filter(|slot| known && slot.owner.is_none());
         orphans.extend(vacant.map(|slot| (slot.shard, Proof::Vacant)));
         let bins = self.bins(view, &orphans);
         let weights = orphans.keys().map(|shard| (*shard, view.weight(*shard))).collect();
--- a/crates/own/src/lease.rs
+++ b/crates/own/src/lease.rs
@@ -6,9 +6,10 @@
 
 use {
     crate::cell,
+    conf::services::Fencing,
     key::{Fence, Incarnation, Process, Shard, Stamp},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// The path on which a target takes orders.
@@ -100,3 +101,95 @@
     }
     hash.finish()
 }
+
+/// The target's side of a lease, as targets are expected to keep it.
+///
+/// It is here so that the stand-ins and the model tests rest on one statement of the interface.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    fencing: Fencing,
+    incarnation: Incarnation,
+    stamp: Stamp,
+    digest: Option<u64>,
+    deadline_ms: u64,
+    shards: HashMap<Shard, Fence>,
+}
+
+impl Holder {
+    /// Returns a holder that has accepted nothing.
+    #[must_use]
+    pub fn new(fencing: Fencing, incarnation: Incarnation) -> Self {
+        Self {
+            fencing,
+            incarnation,
+            stamp: Stamp::default(),
+            digest: None,
+            deadline_ms: 0,
+            shards: HashMap::new(),
+        }
+    }
+
+    /// Takes an order and returns the verdict on it.
+    pub fn obey(&mut self, offer: &Offer) -> Verdict {
+        if offer.incarnation.is_some_and(|meant| meant != self.incarnation) {
+            return Verdict::OtherIncarnation;
+        }
+        if self.fencing == Fencing::Full && offer.stamp < self.stamp {
+            return Verdict::Stale;
+        }
+        let Some(deadline_ms) = offer.deadline_ms else { return Verdict::Accepted };
+        if self.digest == Some(offer.digest) {
+            self.deadline_ms = match self.fencing {
+                Fencing::Full => deadline_ms.max(self.deadline_ms),
+                Fencing::Lease => deadline_ms,
+            };
+        } else {
+            let listed = offer.shards.as_ref().filter(|shards| digest(shards) == offer.digest);
+            let Some(shards) = listed else { return Verdict::NeedsShards };
+            self.shards = shards.iter().map(|held| (held.shard, held.fence)).collect();
+            self.digest = Some(offer.digest);
+            self.deadline_ms = deadline_ms;
+        }
+        self.stamp = offer.stamp.max(self.stamp);
+        Verdict::Accepted
+    }
+
+    /// Tells whether the lease covers a shard at `now_ms` of the target's clock, under the fence
+    /// of a request where the target compares fences.
+    #[must_use]
+    pub fn holds(&self, shard: Shard, fence: Fence, now_ms: u64) -> bool {
+        let held = self.shards.get(&shard);
+        let fenced = self.fencing == Fencing::Lease || held == Some(&fence);
+        now_ms < self.deadline_ms && held.is_some() && fenced
+    }
+
+    /// Returns the shards of the lease that has not run out at `now_ms`.
+    pub fn held(&self, now_ms: u64) -> impl Iterator<Item = Shard> {
+        let live = now_ms < self.deadline_ms;
+        self.shards.keys().copied().filter(move |_| live)
+    }
+
+    /// Tells whether a shard is part of the lease, run out or not.
+    #[must_use]
+    pub fn lists(&self, shard: Shard) -> bool {
+        self.shards.contains_key(&shard)
+    }
+
+    /// Returns the highest stamp that was accepted.
+    #[must_use]
+    pub const fn stamp(&self) -> Stamp {
+        self.stamp
+    }
+
+    /// Returns the end of the lease in milliseconds of the target's clock.
+    #[must_use]
+    pub const fn deadline_ms(&self) -> u64 {
+        self.deadline_ms
+    }
+
+    /// Returns the digest of the shards of the lease.
+    #[must_use]
+    pub const fn digest(&self) -> Option<u64> {
+        self.digest
+    }
+}
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -25,5 +25,5 @@
     cell::Row,
     decision::Decision,
     error::Error,
-    node::{Action, Config, Event, Node, Peer, Role, Write},
+    node::{Action, Answered, Config, Event, Node, Peer, Role, Sent, Write},
 };
--- a/crates/own/src/node.rs
+++ b/crates/own/src/node.rs
@@ -4,9 +4,9 @@
 mod view;
 mod writes;
 
-pub(crate) use self::{event::Sent, view::View};
+pub(crate) use self::view::View;
 pub use self::{
-    event::{Action, Event, Write},
+    event::{Action, Answered, Event, Sent, Write},
     view::{Config, Peer, Role},
 };
 
@@ -150,12 +150,13 @@
                 self.world.set_vms(list, now);
                 self.note_ended(now);
             }
-            Event::Peer(peer) => {
-                self.world.heard(peer, now);
+            Event::Peer { peer, asked } => {
+                self.end_predecessors(&peer.process, asked, now);
+                self.world.heard(peer, asked, now);
                 self.note_ended(now);
             }
             Event::Ended(process) => {
-                self.world.farewell(process, now);
+                self.world.end(process, now);
                 self.note_ended(now);
             }
             Event::Vouched(vm) => {
@@ -164,9 +165,7 @@
             }
             Event::Drained(vms) => self.world.set_drained(vms),
             Event::Loads { service, loads } => self.world.set_loads(service, loads),
-            Event::Answered { cell, vm, sent, received, answer } => {
-                self.answered(&cell, &vm, sent, received, &answer, now, &mut actions);
-            }
+            Event::Answered(answered) => self.answered(&answered, now, &mut actions),
             Event::Failed { cell, vm } => {
                 if let Some(renewer) = self.renewer_mut(&cell) {
                     renewer.failed(&vm);
@@ -230,7 +229,10 @@
         let looked = before.as_ref().and_then(|cell| cell.looked);
         let (part, rescue) =
             before.map_or((Part::Observer, Rescue::default()), |cell| (cell.part, cell.rescue));
-        let guards = row.guardian.as_ref() == Some(self.world.me());
+        // The answer to a write of this process can come after a promise that covers the row it
+        // wrote; the promise counts.
+        let released = self.stopped.contains_key(&(name.clone(), None));
+        let guards = row.guardian.as_ref() == Some(self.world.me()) && !released;
         let view = self.world.view(&name.service, self.resigning, self.read_at);
         let part = match part {
             Part::Guardian(mut guardian) if guards => {
@@ -262,6 +264,23 @@
         self.cells.insert(name, Cell { row, version, part, rescue, changed: now, looked });
     }
 
+    /// Notes the end of processes that `process` has succeeded on its VM.
+    ///
+    /// A process holds its VM's address for life. So one that is named by a row known before the
+    /// question was sent, and is not the one that answered, had ended when that one started. A row
+    /// that came later proves nothing: it may name the successor of the one that answered.
+    fn end_predecessors(&mut self, process: &Process, asked: Tick, now: Tick) {
+        let mut ended: Vec<Process> = Vec::new();
+        for cell in self.cells.values().filter(|cell| cell.changed < asked) {
+            let others =
+                cell.row.renewers().filter(|other| other.vm == process.vm && *other != process);
+            ended.extend(others.cloned());
+        }
+        for process in ended {
+            self.world.end(process, now);
+        }
+    }
+
     /// Accounts for leases that a process may have given just before it was known to have ended.
     fn note_ended(&mut self, now: Tick) {
         let fresh = self.world.take_freshly_ended();
@@ -279,25 +298,16 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments, reason = "the fields of one event")]
-    fn answered(
-        &mut self,
-        name: &cell::Name,
-        vm: &Vm,
-        sent: Sent,
-        received: Tick,
-        answer: &crate::lease::Answer,
-        now: Tick,
-        actions: &mut Vec<Action>,
-    ) {
-        self.world.unvouch(vm);
+    fn answered(&mut self, answered: &Answered, now: Tick, actions: &mut Vec<Action>) {
+        let name = &answered.cell;
+        self.world.unvouch(&answered.vm);
         let Some(cell) = self.cells.get_mut(name) else { return };
         let renewer = match &mut cell.part {
             Part::Guardian(guardian) => &mut guardian.renewer,
             Part::Deputy(renewer) => renewer,
             Part::Observer => return,
         };
-        let meaning = renewer.answered(vm, sent, received, answer, &mut self.ledger, actions);
+        let meaning = renewer.answered(answered, self.world.terms(), &mut self.ledger, actions);
         if let Meaning::Superseded(stamp) = meaning {
             let decision = Decision::Superseded { cell: name.clone(), term: stamp.term };
             actions.push(Action::Record(decision));
@@ -370,7 +380,10 @@
                     guardian.sent(draft);
                 }
                 let blocked = guardian.blocked();
-                let stopped = |vm: &Vm| blocked.contains(vm);
+                let stopped = |vm: &Vm| {
+                    blocked.contains(vm)
+                        || self.stopped.contains_key(&(name.clone(), Some(vm.clone())))
+                };
                 guardian.renewer.renew(now, rights, &mut self.ledger, stopped, actions);
                 if let Some(Draft { row, decisions, .. }) = draft {
                     let rows = vec![(cell.version, row)];
--- a/crates/own/src/node/event.rs
+++ b/crates/own/src/node/event.rs
@@ -39,6 +39,21 @@
     }
 }
 
+/// A target's answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// The cell.
+    pub cell: cell::Name,
+    /// The target.
+    pub vm: Vm,
+    /// What was asked.
+    pub sent: Sent,
+    /// When the answer arrived.
+    pub received: Tick,
+    /// The answer.
+    pub answer: Answer,
+}
+
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -62,8 +77,13 @@
     Services(Arc<Text>),
     /// The list of VMs was read.
     Vms(Vec<Listed>),
-    /// A peer was heard, over a connection to its own address.
-    Peer(Peer),
+    /// A peer answered a question that was sent to its own address.
+    Peer {
+        /// The peer.
+        peer: Peer,
+        /// When the question was sent.
+        asked: Tick,
+    },
     /// A process said that it renews nothing any more.
     Ended(Process),
     /// An operator vouched that everything on a VM has ended.
@@ -78,18 +98,7 @@
         loads: HashMap<Shard, f64>,
     },
     /// A target answered an order.
-    Answered {
-        /// The cell.
-        cell: cell::Name,
-        /// The target.
-        vm: Vm,
-        /// What was asked.
-        sent: Sent,
-        /// When the answer arrived.
-        received: Tick,
-        /// The answer.
-        answer: Answer,
-    },
+    Answered(Answered),
     /// An order got no answer.
     Failed {
         /// The cell.
--- a/crates/own/src/node/view.rs
+++ b/crates/own/src/node/view.rs
@@ -147,26 +147,19 @@
     }
 
     /// Takes a sign of life that came over a connection to the peer's own address.
-    pub(crate) fn heard(&mut self, peer: Peer, now: Tick) {
-        if self.ended.contains_key(&peer.process) {
-            return;
-        }
+    pub(crate) fn heard(&mut self, peer: Peer, asked: Tick, now: Tick) {
         let vm = peer.process.vm.clone();
-        if let Some((known, _)) = self.peers.get(&vm)
-            && known.process != peer.process
-        {
-            // The address is held by the new process, so the former one has ended.
-            self.end(known.process.clone(), now);
+        let known = self.peers.get(&vm);
+        let late = known.is_some_and(|(known, at)| known.process != peer.process && *at >= asked);
+        if late || self.ended.contains_key(&peer.process) {
+            return;
         }
+        // The address is held by this process, so one that was heard before has ended.
         self.end_processes_of(&vm, Some(&peer.process), now);
         self.vouched.remove(&vm);
         self.peers.insert(vm, (peer, now));
     }
 
-    pub(crate) fn farewell(&mut self, process: Process, now: Tick) {
-        self.end(process, now);
-    }
-
     pub(crate) fn vouch(&mut self, vm: Vm, now: Tick) {
         self.end_processes_of(&vm, None, now);
         self.vouched.insert(vm, now);
@@ -185,7 +178,8 @@
         std::mem::take(&mut self.freshly_ended)
     }
 
-    fn end(&mut self, process: Process, now: Tick) {
+    /// Notes that a process has ended.
+    pub(crate) fn end(&mut self, process: Process, now: Tick) {
         if self.ended.contains_key(&process) {
             return;
         }
@@ -308,10 +302,7 @@
     pub(crate) fn has_ended(&self, process: &Process) -> bool {
         let replaced = process.vm == self.me.vm && process != self.me;
         let vm_ended = self.is_gone(&process.vm) || self.vouched.contains(&process.vm);
-        // A process that this one never heard may have been replaced on its VM by one it hears.
-        let heard = self.world.peers.get(&process.vm);
-        let succeeded = heard.is_some_and(|(peer, _)| peer.process != *process);
-        replaced || vm_ended || succeeded || self.world.ended.contains_key(process)
+        replaced || vm_ended || self.world.ended.contains_key(process)
     }
 
     /// Returns when the last of the cell's renewers was found to have ended, if all have.
@@ -321,11 +312,6 @@
                 self.world.ended.get(process),
                 self.world.gone.get(&process.vm),
                 self.world.vouched.get(&process.vm),
-                self.world
-                    .peers
-                    .get(&process.vm)
-                    .filter(|(peer, _)| peer.process != *process)
-                    .map(|(_, at)| at),
             ];
             ended.into_iter().flatten().min().copied()
         };
--- a/crates/own/src/renewer.rs
+++ b/crates/own/src/renewer.rs
@@ -10,7 +10,7 @@
         lease::{Answer, Offer, Terms, Verdict},
         ledger::Ledger,
         link::{Life, Link, Reading},
-        node::{Action, Sent},
+        node::{Action, Answered, Sent},
     },
     key::{Process, Stamp, Version, Vm, clock::Tick},
     std::{collections::BTreeSet, sync::Arc},
@@ -149,13 +149,13 @@
     /// Takes a target's answer.
     pub(crate) fn answered(
         &mut self,
-        vm: &Vm,
-        sent: Sent,
-        received: Tick,
-        answer: &Answer,
+        answered: &Answered,
+        terms: &Terms,
         ledger: &mut Ledger,
         actions: &mut Vec<Action>,
     ) -> Meaning {
+        let Answered { vm, sent, received, answer, .. } = answered;
+        let (sent, received) = (*sent, *received);
         let own = Stamp { term: self.row.term, version: self.version, seq: 0 };
         let name = self.row.name.clone();
         let Some(link) = self.link_mut(vm) else { return Meaning::Routine };
@@ -167,7 +167,11 @@
         link.incarnation = Some(answer.incarnation);
         link.heard = received;
         link.leaving = answer.leaving;
-        link.reading = Some(Reading { target_ms: answer.now_ms, received });
+        let before = link.reading.replace(Reading { target_ms: answer.now_ms, received });
+        if before.is_some_and(|before| received.since(before.received) > terms.renew * LATE) {
+            // The order just answered rested on an old reading and gave little time.
+            link.due = received;
+        }
         match answer.verdict {
             Verdict::Accepted => accept(link, own, sent, received, answer),
             Verdict::NeedsShards => {
@@ -242,6 +246,9 @@
     }
 }
 
+/// How many times the renewal interval a reading may be old before the next order is sent at once.
+const LATE: u32 = 2;
+
 /// The time between two questions whether requests still run on a revoked shard.
 const BUSY_POLL: std::time::Duration = std::time::Duration::from_millis(20);
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -249,7 +249,7 @@
         let result = send(arguments).await;
         let good = result.as_ref().is_ok_and(|response| response.status() == StatusCode::OK);
         if good || Instant::now() >= deadline {
-            return print(result?, arguments.brief);
+            return print(&result?, arguments.brief);
         }
         tokio::time::sleep(WAIT_PAUSE).await;
     }
@@ -267,7 +267,7 @@
     Ok(Response::from_parts(parts, body.collect().await?.to_bytes()))
 }
 
-fn print(response: Response<Bytes>, brief: bool) -> Result<(), Box<dyn Error>> {
+fn print(response: &Response<Bytes>, brief: bool) -> Result<(), Box<dyn Error>> {
     let mut line = response.status().as_u16().to_string();
     for (name, value) in response.headers() {
         if name.as_str().starts_with("x-") {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -13,8 +13,8 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    key::{Fence, Incarnation, Shard, Stamp, Vm, clock::Tick},
-    own::lease::{Answer, Held, Offer, PATH, Verdict, digest},
+    key::{Fence, Incarnation, Shard, Vm, clock::Tick},
+    own::lease::{Answer, Holder, Offer, PATH, Verdict},
     route::header,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -37,6 +37,7 @@
 const BODY_LIMIT_BYTES: usize = 1 << 20;
 const CHUNK_BYTES: usize = 16 << 10;
 const CRASH_STATUS: i32 = 70;
+const MICROS_PER_MILLI: u64 = 1_000;
 
 type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -83,17 +84,8 @@
     pub cold_ms: u64,
 }
 
-#[derive(Default)]
-struct Lease {
-    stamp: Stamp,
-    digest: Option<u64>,
-    deadline_ms: u64,
-    shards: HashMap<Shard, Fence>,
-}
-
-#[derive(Default)]
 struct State {
-    lease: Lease,
+    lease: Holder,
     running: HashMap<Shard, usize>,
     fault: Fault,
     served: u64,
@@ -117,7 +109,12 @@
     #[must_use]
     pub fn new(config: Config, incarnation: Incarnation, journal: Journal) -> Arc<Self> {
         let slots = Semaphore::new(config.slots);
-        let state = Mutex::default();
+        let state = Mutex::new(State {
+            lease: Holder::new(config.fencing, incarnation),
+            running: HashMap::new(),
+            fault: Fault::default(),
+            served: 0,
+        });
         Arc::new(Self { config, incarnation, state, slots, waiting: AtomicUsize::new(0), journal })
     }
 
@@ -190,62 +187,29 @@
     fn obey(&self, offer: &Offer) -> Answer {
         let mut state = self.state();
         let now_ms = self.now_ms();
-        let verdict = self.judge(&mut state, offer);
-        if verdict == Verdict::Accepted
-            && let Some(deadline_ms) = offer.deadline_ms
-        {
-            let lease = &mut state.lease;
-            let fresh = lease.digest != Some(offer.digest);
-            if fresh {
-                lease.shards = list(offer.shards.as_deref().unwrap_or_default());
-                lease.digest = Some(offer.digest);
-                lease.deadline_ms = deadline_ms;
-            }
-            lease.stamp = offer.stamp.max(lease.stamp);
-            lease.deadline_ms = match self.config.fencing {
-                Fencing::Full => deadline_ms.max(lease.deadline_ms),
-                Fencing::Lease => deadline_ms,
-            };
-            let until_ms = lease.deadline_ms.saturating_sub(self.config.clock_offset_ms);
+        let before = state.lease.digest();
+        let verdict = state.lease.obey(offer);
+        if verdict == Verdict::Accepted && offer.deadline_ms.is_some() {
+            let fresh = state.lease.digest() != before;
+            let until_ms = state.lease.deadline_ms().saturating_sub(self.config.clock_offset_ms);
             let listed = offer.shards.as_ref().filter(|_| fresh);
-            self.journal.write(
-                Tick::now(),
-                Kind::Leased {
-                    service: self.config.service.clone(),
-                    until: Tick::from(until_ms * 1_000),
-                    shards: listed
-                        .map(|held| held.iter().map(|one| (one.shard, one.fence)).collect()),
-                },
-            );
+            let leased = Kind::Leased {
+                service: self.config.service.clone(),
+                until: Tick::from(until_ms * MICROS_PER_MILLI),
+                shards: listed.map(|held| held.iter().map(|one| (one.shard, one.fence)).collect()),
+            };
+            self.journal.write(Tick::now(), leased);
         }
-        let held = &state.lease.shards;
-        let busy =
-            state.running.iter().filter(|(shard, count)| **count > 0 && !held.contains_key(shard));
+        let running = state.running.iter().filter(|(_, count)| **count > 0);
+        let busy = running.map(|(shard, _)| *shard).filter(|shard| !state.lease.lists(*shard));
         Answer {
             now_ms,
             incarnation: self.incarnation,
             leaving: state.fault.leaving,
             verdict,
-            stamp: state.lease.stamp,
-            busy: busy.map(|(shard, _)| *shard).collect(),
-        }
-    }
-
-    fn judge(&self, state: &mut State, offer: &Offer) -> Verdict {
-        if offer.incarnation.is_some_and(|meant| meant != self.incarnation) {
-            return Verdict::OtherIncarnation;
-        }
-        if self.config.fencing == Fencing::Full && offer.stamp < state.lease.stamp {
-            return Verdict::Stale;
-        }
-        if offer.deadline_ms.is_none() {
-            return Verdict::Accepted;
-        }
-        let listed = offer.shards.as_ref().is_some_and(|shards| digest(shards) == offer.digest);
-        if state.lease.digest != Some(offer.digest) && !listed {
-            return Verdict::NeedsShards;
+            stamp: state.lease.stamp(),
+            busy: busy.collect(),
         }
-        Verdict::Accepted
     }
 
     /// Returns the held shard of a request, or why the target must not run it.
@@ -262,13 +226,10 @@
         let (Some(shard), Some(fence)) = (shard, fence) else {
             return Err(header::target::NOT_OWNER);
         };
-        let lease = &state.lease;
-        let held = lease.shards.get(&shard).copied();
-        let fenced = self.config.fencing == Fencing::Full && held != Some(fence);
-        if lease.deadline_ms <= now_ms || held.is_none() || fenced {
-            return Err(header::target::NOT_OWNER);
+        if state.lease.holds(shard, fence, now_ms) {
+            return Ok(Some((shard, fence)));
         }
-        Ok(Some((shard, fence)))
+        Err(header::target::NOT_OWNER)
     }
 
     async fn work(&self, request: Request<Incoming>) -> Response<Body> {
@@ -469,10 +430,6 @@
     }
 }
 
-fn list(held: &[Held]) -> HashMap<Shard, Fence> {
-    held.iter().map(|held| (held.shard, held.fence)).collect()
-}
-
 fn json<T: Serialize>(status: StatusCode, body: &T) -> Response<Body> {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let full = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
