Prove one owner with real processes and proxies

Cause: a fleet of processes can fail in ways the model does not draw: sockets that hold requests over a freeze, paused processes, proxies that cut one way. The trial crate starts entries and targets as processes, runs the platform and the proxies in the test, and reads the proof from the targets' journals.

Found: a GET whose owner was killed came back as connection-lost after 10 ms. It used up its service's 50 saved retries at once, since each failed attempt was followed by the next without a pause. Ruled out: the wait for an owner (the target was still the owner) and the proxy. Now one request at a time finds out whether a failing owner answers, ten times a second, and the others wait.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -8,7 +8,13 @@
     key::{Vm, Zone},
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
-    std::{collections::HashSet, fs, net::SocketAddr, path::Path, time::Duration},
+    std::{
+        collections::HashSet,
+        fs,
+        net::{IpAddr, SocketAddr},
+        path::Path,
+        time::Duration,
+    },
 };
 
 /// Everything a process is told before it starts.
@@ -21,6 +27,9 @@
     pub vm: Vm,
     /// The availability zone of this VM.
     pub zone: Zone,
+    /// The address from which this process connects; by default the system chooses.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where other entries connect.
--- a/crates/entry/src/control/fleet.rs
+++ b/crates/entry/src/control/fleet.rs
@@ -68,10 +68,11 @@
         links.tasks.entry(address).or_insert_with(|| {
             let links = std::rc::Rc::clone(&outside.links);
             let (inputs, hello) = (outside.inputs.clone(), answering.hello.clone());
-            let limit = outside.shared.settings.lease.peer_lost();
+            let settings = &outside.shared.settings;
+            let (source, limit) = (settings.source, settings.lease.peer_lost());
             let task = async move {
                 loop {
-                    converse(address, &links, &inputs, &hello, limit).await;
+                    converse(address, &links, &inputs, &hello, source, limit).await;
                     time::sleep(limit / HELLOS_PER_LIMIT as u32).await;
                 }
             };
@@ -89,9 +90,10 @@
     links: &std::rc::Rc<std::cell::RefCell<Links>>,
     inputs: &Inputs,
     hello: &Hello,
+    source: Option<std::net::IpAddr>,
     limit: Duration,
 ) {
-    let Ok(client) = peer::connect(address, limit).await else { return };
+    let Ok(client) = peer::connect(address, source, limit).await else { return };
     let mut known: Option<Process> = None;
     loop {
         let asked = Tick::now();
--- a/crates/entry/src/control/routing.rs
+++ b/crates/entry/src/control/routing.rs
@@ -4,7 +4,10 @@
     crate::{
         shared::Shared,
         snapshot::{Owner, Route, Service, Snapshot},
-        traffic::{service::Live, target::Target},
+        traffic::{
+            service::Live,
+            target::{Target, Way},
+        },
     },
     conf::services::{self, Text},
     key::{
@@ -87,12 +90,14 @@
         if let Some(index) = self.known.get(&key) {
             return *index;
         }
-        let buffer = self.sources.shared.settings.traffic.buffer_bytes.get() as usize;
+        let settings = &self.sources.shared.settings;
+        let buffer = settings.traffic.buffer_bytes.get() as usize;
+        let way = Way { buffer, source: settings.source };
         let target = self
             .registry
             .targets
             .entry(key.clone())
-            .or_insert_with(|| Target::new(vm.clone(), zone.clone(), address, buffer));
+            .or_insert_with(|| Target::new(vm.clone(), zone.clone(), address, way));
         let connections = conf.limits.connections.get() as usize;
         target.set_limit(connections / self.sources.entries.max(1));
         let index = self.arena.push(Arc::clone(target));
--- a/crates/entry/src/control/table.rs
+++ b/crates/entry/src/control/table.rs
@@ -18,7 +18,7 @@
 
 pub(crate) fn client(settings: &Settings) -> Client {
     let timeout = Duration::from_millis(settings.control.platform_timeout_ms.get());
-    Config::new(settings.platform).timeout(timeout).build()
+    Config::new(settings.platform).timeout(timeout).source(settings.source).build()
 }
 
 /// Looks at the table for ever.
--- a/crates/entry/src/control/target.rs
+++ b/crates/entry/src/control/target.rs
@@ -13,7 +13,7 @@
 
 pub(crate) fn client(settings: &Settings) -> wire::Client {
     let timeout = Duration::from_millis(settings.control.target_timeout_ms.get());
-    wire::Config::default().timeout(timeout).build()
+    wire::Config::default().timeout(timeout).source(settings.source).build()
 }
 
 /// Sends an order and reports what came of it.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -99,8 +99,14 @@
     Context {
         shared: Arc::clone(shared),
         me,
-        platform: platform::Config::new(shared.settings.platform).timeout(timeout).build(),
-        probe: wire::Config::default().timeout(PROBE_TIMEOUT).build(),
+        platform: platform::Config::new(shared.settings.platform)
+            .timeout(timeout)
+            .source(shared.settings.source)
+            .build(),
+        probe: wire::Config::default()
+            .timeout(PROBE_TIMEOUT)
+            .source(shared.settings.source)
+            .build(),
     }
 }
 
--- a/crates/entry/src/traffic/handle.rs
+++ b/crates/entry/src/traffic/handle.rs
@@ -376,13 +376,17 @@
             return Err(refuse(Reason::Deadline, uncertain));
         }
         let mut changed = context.shared.changed.subscribe();
-        let Some(goal) = choose(&context.shared, call) else {
-            let _waiting =
-                Waiting::enter(&context.shared).ok_or(refuse(Reason::Overloaded, uncertain))?;
-            if time::timeout(call.remaining(), changed.changed()).await.is_err() {
-                return Err(refuse(Reason::NoOwner, uncertain));
+        let goal = match choose(&context.shared, call) {
+            Ok(goal) => goal,
+            Err(reason) => {
+                let _waiting =
+                    Waiting::enter(&context.shared).ok_or(refuse(Reason::Overloaded, uncertain))?;
+                time::timeout(OWNER_RETRY.min(call.remaining()), changed.changed()).await.ok();
+                if call.remaining().is_zero() {
+                    return Err(refuse(reason, uncertain));
+                }
+                continue;
             }
-            continue;
         };
         let in_flight = InFlight::new(&goal.target);
         let before = goal.target.incarnation.load(Ordering::Relaxed);
@@ -448,16 +452,18 @@
     }
 }
 
-/// Returns where the next attempt goes, if there is anywhere.
-fn choose(shared: &Shared, call: &mut Call) -> Option<Goal> {
+/// Returns where the next attempt goes, or why it has to wait.
+fn choose(shared: &Shared, call: &Call) -> Result<Goal, Reason> {
     let snapshot = shared.snapshot.load();
-    let service = snapshot.services.get(&call.service.conf.name)?;
+    let service = snapshot.services.get(&call.service.conf.name).ok_or(Reason::UnknownService)?;
     if let Some(shard) = call.shard {
-        let owner = service.owner(shard)?;
+        let owner = service.owner(shard).ok_or(Reason::NoOwner)?;
         let target = Arc::clone(snapshot.targets.get(owner.target));
-        return Some(Goal { target, fence: Some(owner.fence) });
+        let allowed = target.may_try();
+        let goal = Goal { target, fence: Some(owner.fence) };
+        return if allowed { Ok(goal) } else { Err(Reason::Unreachable) };
     }
-    let Route::Any(indices) = &service.route else { return None };
+    let Route::Any(indices) = &service.route else { return Err(Reason::NoOwner) };
     let targets: Vec<&Arc<Target>> = indices
         .iter()
         .map(|index| snapshot.targets.get(*index))
@@ -471,8 +477,8 @@
         })
         .collect();
     let draw = |count: usize| rand::random_range(0..count);
-    let chosen = choice::less_busy_of_two(&candidates, draw)?;
-    Some(Goal { target: Arc::clone(targets[chosen]), fence: None })
+    let chosen = choice::less_busy_of_two(&candidates, draw).ok_or(Reason::Unreachable)?;
+    Ok(Goal { target: Arc::clone(targets[chosen]), fence: None })
 }
 
 /// Tells whether a request has a strike, and refuses it if it has too many.
--- a/crates/entry/src/traffic/target.rs
+++ b/crates/entry/src/traffic/target.rs
@@ -6,7 +6,7 @@
     hyper_util::rt::TokioIo,
     key::{Vm, Zone, clock::Tick},
     std::{
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
@@ -15,7 +15,7 @@
     },
     thiserror::Error as Derive,
     tokio::{
-        net::TcpStream,
+        net::TcpSocket,
         sync::{OwnedSemaphorePermit, Semaphore},
         time,
     },
@@ -27,6 +27,9 @@
 /// The time a target is passed over.
 const EJECTION: Duration = Duration::from_secs(2);
 
+/// The time between two requests to a target at which attempts fail.
+const TRY_EVERY: Duration = Duration::from_millis(100);
+
 /// The longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -77,8 +80,19 @@
     idle: Mutex<Vec<Idle>>,
     reading: Mutex<Option<(u64, Tick)>>,
     failures: AtomicU32,
+    /// When a request was last sent in spite of failures, in microseconds.
+    tried: AtomicU64,
     ejected_until: Mutex<Option<Instant>>,
-    buffer: usize,
+    way: Way,
+}
+
+/// How connections to targets are opened.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Way {
+    /// The buffer of one connection, in bytes.
+    pub(crate) buffer: usize,
+    /// The address to connect from.
+    pub(crate) source: Option<IpAddr>,
 }
 
 /// A connection in use. It goes back to its target only when its answer was read whole.
@@ -90,7 +104,7 @@
 }
 
 impl Target {
-    pub(crate) fn new(vm: Vm, zone: Zone, address: SocketAddr, buffer: usize) -> Arc<Self> {
+    pub(crate) fn new(vm: Vm, zone: Zone, address: SocketAddr, way: Way) -> Arc<Self> {
         Arc::new(Self {
             vm,
             zone,
@@ -103,8 +117,9 @@
             idle: Mutex::default(),
             reading: Mutex::default(),
             failures: AtomicU32::new(0),
+            tried: AtomicU64::new(0),
             ejected_until: Mutex::default(),
-            buffer,
+            way,
         })
     }
 
@@ -159,12 +174,17 @@
     }
 
     async fn open(&self) -> std::io::Result<SendRequest<Body>> {
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+        let socket =
+            if self.address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if let Some(source) = self.way.source {
+            socket.bind((source, 0).into())?;
+        }
+        let stream = time::timeout(CONNECT_TIMEOUT, socket.connect(self.address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(self.buffer)
+            .max_buf_size(self.way.buffer)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
@@ -215,6 +235,21 @@
         (failures == EJECT_AFTER).then_some(failures)
     }
 
+    /// Tells whether a request may be sent now: while attempts fail, one at a time finds out whether
+    /// they still do, and the others wait instead of using up their retries.
+    pub(crate) fn may_try(&self) -> bool {
+        if self.failures.load(Ordering::Relaxed) < EJECT_AFTER {
+            return true;
+        }
+        let now = Tick::now();
+        let last = self.tried.load(Ordering::Relaxed);
+        let due = now.since(Tick::from(last)) >= TRY_EVERY;
+        due && self
+            .tried
+            .compare_exchange(last, now.micros(), Ordering::Relaxed, Ordering::Relaxed)
+            .is_ok()
+    }
+
     /// Tells whether the target is passed over at present.
     pub(crate) fn is_failing(&self) -> bool {
         self.failures.load(Ordering::Relaxed) >= EJECT_AFTER
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -10,14 +10,20 @@
     own::{Row, stop},
     report::{Record, burn::Line},
     route::quarantine::Strike,
-    std::{future::Future, io, net::SocketAddr, time::Duration},
+    std::{
+        future::Future,
+        io,
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
     tarpc::{
         client, context,
-        serde_transport::tcp,
+        serde_transport::{self, tcp},
         server::{BaseChannel, Channel},
         tokio_serde::formats::Json,
+        tokio_util::codec::LengthDelimitedCodec,
     },
-    tokio::{task::JoinSet, time},
+    tokio::{net::TcpSocket, task::JoinSet, time},
 };
 
 const FRAME_LIMIT_BYTES: usize = 64 << 20;
@@ -58,12 +64,22 @@
 /// # Errors
 ///
 /// Returns [`Error::Connect`] if the peer cannot be reached.
-pub async fn connect(to: SocketAddr, timeout: Duration) -> Result<Client, Error> {
-    let mut connecting = tcp::connect(to, Json::default);
-    connecting.config_mut().max_frame_length(FRAME_LIMIT_BYTES);
-    let transport = time::timeout(CONNECT_TIMEOUT, connecting)
+pub async fn connect(
+    to: SocketAddr,
+    source: Option<IpAddr>,
+    timeout: Duration,
+) -> Result<Client, Error> {
+    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(source) = source {
+        socket.bind((source, 0).into())?;
+    }
+    let stream = time::timeout(CONNECT_TIMEOUT, socket.connect(to))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let framed =
+        LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT_BYTES).new_framed(stream);
+    let transport = serde_transport::new(framed, Json::default());
     let inner = FleetClient::new(client::Config::default(), transport).spawn();
     Ok(Client { inner, timeout })
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,7 +7,10 @@
         vms::List,
     },
     http::Method,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -17,13 +20,14 @@
 pub struct Config {
     address: SocketAddr,
     timeout: Duration,
+    source: Option<IpAddr>,
 }
 
 impl Config {
     /// Describes a platform at `address`.
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
-        Self { address, timeout: DEFAULT_TIMEOUT }
+        Self { address, timeout: DEFAULT_TIMEOUT, source: None }
     }
 
     /// Sets the time one exchange may take.
@@ -33,12 +37,19 @@
         self
     }
 
+    /// Sets the address from which connections are opened.
+    #[must_use]
+    pub const fn source(mut self, source: Option<IpAddr>) -> Self {
+        self.source = source;
+        self
+    }
+
     /// Builds the client.
     #[must_use]
     pub fn build(self) -> Client {
         Client {
             address: self.address,
-            wire: wire::Config::default().timeout(self.timeout).build(),
+            wire: wire::Config::default().timeout(self.timeout).source(self.source).build(),
         }
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -89,6 +89,17 @@
         .await;
     }
 
+    /// Replaces the faults.
+    pub fn set(&self, fault: Fault) {
+        self.state().fault = fault;
+    }
+
+    /// Returns the counts of what was asked so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.state().counts
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -161,7 +172,7 @@
     }
 
     /// Adds VMs to the list, or changes those that are on it.
-    fn update_vms(&self, vms: Vec<Listed>) {
+    pub fn update_vms(&self, vms: Vec<Listed>) {
         let mut state = self.state();
         let mut list = state.lists.last().map(|(_, list)| list.clone()).unwrap_or_default();
         for vm in vms {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -6,7 +6,7 @@
     serde::{Deserialize, Serialize},
     std::{
         io,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -27,9 +27,11 @@
 const IDLE_POLL: Duration = Duration::from_millis(10);
 
 /// The faults, set by a POST to the proxy's second address.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fault {
+    /// The addresses from which nothing passes, or all if [`Self::cut`] is set.
+    pub cut_from: Vec<IpAddr>,
     /// Nothing passes and new connections hang, as between separated networks.
     pub cut: bool,
     /// Bytes towards the server are held back.
@@ -44,6 +46,20 @@
     pub reset_after: Option<u64>,
 }
 
+/// One connection.
+#[derive(Clone, Copy)]
+struct Client {
+    number: u64,
+    address: IpAddr,
+}
+
+/// A direction through the proxy.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Forward,
+    Backward,
+}
+
 /// The proxy.
 #[derive(Default)]
 pub struct Proxy {
@@ -53,7 +69,31 @@
 
 impl Proxy {
     fn fault(&self) -> Fault {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+        self.fault.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Replaces the faults.
+    pub fn set(&self, fault: Fault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Makes every connection that is open now silent for good, while new ones work.
+    pub fn silence_open(&self) {
+        let opened = self.opened.load(Ordering::Relaxed);
+        self.fault.lock().unwrap_or_else(PoisonError::into_inner).silence_before = opened;
+    }
+
+    /// Carries connections from `listener` to `to`, for ever.
+    pub async fn carry_all(self: Arc<Self>, listener: TcpListener, to: SocketAddr) {
+        loop {
+            let Ok((stream, from)) = listener.accept().await else { continue };
+            let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
+            let proxy = Arc::clone(&self);
+            let client = Client { number, address: from.ip() };
+            tokio::spawn(async move {
+                proxy.carry(stream, to, client).await.ok();
+            });
+        }
     }
 
     /// Carries connections from `listener` to `to`, and takes faults on `admin`, for ever.
@@ -63,21 +103,14 @@
             let proxy = Arc::clone(&administered);
             async move { proxy.administer(request).await }
         }));
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
-            let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
-            let proxy = Arc::clone(&self);
-            tokio::spawn(async move {
-                proxy.carry(stream, to, number).await.ok();
-            });
-        }
+        self.carry_all(listener, to).await;
     }
 
     /// Sets the faults and answers with the number of connections opened so far.
     async fn administer(&self, request: Request<Incoming>) -> wire::Reply {
         match wire::read_json(request, BUFFER_BYTES).await {
             Ok(fault) => {
-                *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+                self.set(fault);
                 wire::json(StatusCode::OK, &self.opened.load(Ordering::Relaxed))
             }
             Err(_) => wire::status(StatusCode::BAD_REQUEST),
@@ -86,21 +119,20 @@
 
     async fn carry(
         self: Arc<Self>,
-        client: TcpStream,
+        stream: TcpStream,
         to: SocketAddr,
-        number: u64,
+        client: Client,
     ) -> io::Result<()> {
-        while self.fault().cut {
-            time::sleep(IDLE_POLL).await;
-        }
+        self.wait_while_held(client, Way::Forward).await;
         let server = TcpStream::connect(to).await?;
-        client.set_nodelay(true)?;
+        stream.set_nodelay(true)?;
         server.set_nodelay(true)?;
-        let (client_read, client_write) = client.into_split();
+        let (client_read, client_write) = stream.into_split();
         let (server_read, server_write) = server.into_split();
         let forward = Arc::clone(&self);
-        let there = async move { forward.pump(client_read, server_write, number, false).await };
-        let back = async move { self.pump(server_read, client_write, number, true).await };
+        let there =
+            async move { forward.pump(client_read, server_write, client, Way::Forward).await };
+        let back = async move { self.pump(server_read, client_write, client, Way::Backward).await };
         tokio::select! {
             result = there => result,
             result = back => result,
@@ -111,23 +143,25 @@
         &self,
         mut from: OwnedReadHalf,
         mut to: OwnedWriteHalf,
-        number: u64,
-        backward: bool,
+        client: Client,
+        way: Way,
     ) -> io::Result<()> {
         let mut buffer = vec![0; BUFFER_BYTES];
         let mut passed = 0u64;
         loop {
             let count = from.read(&mut buffer).await?;
             if count == 0 {
-                self.wait_while_held(number, backward).await;
+                self.wait_while_held(client, way).await;
                 to.shutdown().await?;
                 return Ok(());
             }
-            self.wait_while_held(number, backward).await;
+            self.wait_while_held(client, way).await;
             let fault = self.fault();
             time::sleep(Duration::from_millis(fault.delay_ms)).await;
             passed += count as u64;
-            if let Some(limit) = fault.reset_after.filter(|limit| backward && passed > *limit) {
+            if let Some(limit) =
+                fault.reset_after.filter(|limit| way == Way::Backward && passed > *limit)
+            {
                 let rest = count.saturating_sub((passed - limit) as usize);
                 to.write_all(&buffer[..rest]).await?;
                 return Err(io::ErrorKind::ConnectionReset.into());
@@ -136,11 +170,15 @@
         }
     }
 
-    async fn wait_while_held(&self, number: u64, backward: bool) {
+    async fn wait_while_held(&self, client: Client, way: Way) {
         loop {
             let fault = self.fault();
-            let one_way = if backward { fault.cut_backward } else { fault.cut_forward };
-            if !fault.cut && !one_way && number > fault.silence_before {
+            let one_way = match way {
+                Way::Forward => fault.cut_forward,
+                Way::Backward => fault.cut_backward,
+            };
+            let cut = fault.cut || fault.cut_from.contains(&client.address);
+            if !cut && !one_way && client.number > fault.silence_before {
                 return;
             }
             time::sleep(IDLE_POLL).await;
--- /dev/null
+++ b/crates/trial/src/answer.rs
@@ -0,0 +1,125 @@
+//! Callers of the entries.
+
+use {
+    bytes::Bytes,
+    http::{Method, Request, Response},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    route::header,
+    standin::target::Echo,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status, or zero where no whole answer came.
+    pub status: u16,
+    /// The outcome of a refusal.
+    pub outcome: Option<String>,
+    /// The reason of a refusal.
+    pub reason: Option<String>,
+    /// The target that answered.
+    pub served_by: Option<String>,
+    /// The body.
+    pub body: Bytes,
+    /// How long it took.
+    pub took: Duration,
+}
+
+impl Answer {
+    /// Tells whether the request was answered by a target.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.status == 200 && self.outcome.is_none()
+    }
+
+    /// Tells whether the request was refused as not run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        self.outcome.as_deref() == Some("not-run")
+    }
+
+    /// Tells whether the answer is the whole answer to `path`.
+    #[must_use]
+    pub fn echoes(&self, path: &str) -> bool {
+        serde_json::from_slice::<Echo>(&self.body).is_ok_and(|echo| echo.path == path)
+    }
+}
+
+/// A caller with connections of its own.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self { client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+}
+
+impl Caller {
+    /// Sends a GET.
+    pub async fn get(&self, to: SocketAddr, path: &str) -> Answer {
+        self.send(Method::GET, to, path, &[], "").await
+    }
+
+    /// Sends a POST with an idempotency key.
+    pub async fn post(&self, to: SocketAddr, path: &str, id: &str) -> Answer {
+        self.send(Method::POST, to, path, &[(header::IDEMPOTENCY_KEY, id)], id).await
+    }
+
+    /// Sends a request and reads its answer whole.
+    pub async fn send(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let started = Instant::now();
+        let mut builder = Request::builder().method(method).uri(format!("http://{to}{path}"));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(Bytes::copy_from_slice(body.as_bytes())));
+        let exchange = async {
+            let response = self.client.request(request.ok()?).await.ok()?;
+            read(response).await
+        };
+        let answer = time::timeout(TIMEOUT, exchange).await.ok().flatten();
+        let took = started.elapsed();
+        answer.map_or_else(|| nothing(took), |answer| Answer { took, ..answer })
+    }
+}
+
+fn nothing(took: Duration) -> Answer {
+    Answer { status: 0, outcome: None, reason: None, served_by: None, body: Bytes::new(), took }
+}
+
+async fn read(response: Response<Incoming>) -> Option<Answer> {
+    let (parts, body) = response.into_parts();
+    let text = |name| Some(parts.headers.get(name)?.to_str().ok()?.to_owned());
+    Some(Answer {
+        status: parts.status.as_u16(),
+        outcome: text(header::OUTCOME),
+        reason: text(header::REASON),
+        served_by: text(header::SERVED_BY),
+        body: body.collect().await.ok()?.to_bytes(),
+        took: Duration::ZERO,
+    })
+}
--- /dev/null
+++ b/crates/trial/src/process.rs
@@ -0,0 +1,110 @@
+//! Processes that a test starts, pauses and ends by their id.
+
+use {
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        env,
+        fs::File,
+        net::TcpListener,
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+        sync::atomic::{AtomicU16, Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+/// The first port of the tests, below those that the system gives to connections.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 20_000;
+
+const WAIT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Returns a port that is free at this moment and that no other test of this process uses.
+pub(crate) fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() as u16).wrapping_mul(331) % PORTS;
+    loop {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start + offset % PORTS) % PORTS;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+/// Returns the path of a program of this workspace, built beside the test.
+fn program(name: &str) -> PathBuf {
+    let test = env::current_exe().unwrap_or_default();
+    let folder = test.ancestors().nth(2).map(Path::to_owned).unwrap_or_default();
+    folder.join(name)
+}
+
+/// A process that ends with the test.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program with its output in a file.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started; `cargo build --workspace --bins` makes it.
+    pub(crate) fn start(name: &str, arguments: &[String], log: &Path) -> Self {
+        let log =
+            File::options().create(true).append(true).open(log).expect("the log can be opened");
+        let child = Command::new(program(name))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|error| panic!("cannot start {name}: {error}"));
+        Self { child }
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            kill_process(pid, signal).ok();
+        }
+    }
+
+    pub(crate) fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub(crate) fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Returns how the process ended, if it did within `limit`.
+    pub(crate) fn ended(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            if Instant::now() > deadline {
+                return None;
+            }
+            std::thread::sleep(WAIT_PAUSE);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/trial/tests/ownership.rs
@@ -0,0 +1,224 @@
+//! One owner at a time, with real processes.
+
+use {
+    platform::vms::State,
+    serde_json::json,
+    standin::{platform::Fault as PlatformFault, proxy::Fault},
+    std::time::Duration,
+    tokio::time::sleep,
+    trial::{Fleet, KEYED, Load, Plan, eventually},
+};
+
+/// Longer than a lease lives, so that what is stopped for it loses its keys.
+const PAST_THE_LEASE: Duration = Duration::from_millis(2_500);
+
+/// Something that endangers the sole ownership of keys.
+#[derive(Clone, Copy, Debug)]
+enum Danger {
+    FrozenTarget,
+    PausedGuardian,
+    CutGuardian,
+    DelayedOrders,
+    LostAnswers,
+    LostRequests,
+    KilledGuardianAndTarget,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    danger: Danger,
+    fenced: bool,
+}
+
+async fn survive(case: Case) {
+    let mut fleet = Fleet::start(Plan { fenced: case.fenced, ..Plan::default() }).await;
+    let load = Load::start(&fleet, &[0, 1, 2, 3], 2);
+    sleep(Duration::from_millis(300)).await;
+    endanger(&mut fleet, case.danger).await;
+    for at in 0..fleet.entries.len() {
+        fleet.wait_whole(at).await;
+    }
+    let seen = load.finish().await;
+    fleet.verify();
+    fleet.verify_answers(&seen);
+    assert!(seen.iter().filter(|one| one.answer.is_served()).count() > 50, "hardly any traffic");
+}
+
+async fn endanger(fleet: &mut Fleet, danger: Danger) {
+    let key = fleet.keys()[0].clone();
+    let owner = eventually("the key has an owner", || fleet.owner(0, &key)).await;
+    let zone = fleet.targets[owner].zone;
+    let guardian = eventually("the cell has a guardian", || fleet.guardian(0, zone)).await;
+    let name = fleet.targets[owner].vm.to_string();
+    match danger {
+        Danger::FrozenTarget => {
+            fleet.pause_target(owner);
+            // Requests go on reaching its socket until its keys have moved.
+            sleep(PAST_THE_LEASE).await;
+            fleet.resume_target(owner);
+        }
+        Danger::PausedGuardian => {
+            fleet.pause_entry(guardian);
+            sleep(PAST_THE_LEASE).await;
+            fleet.kill_target(owner);
+            sleep(PAST_THE_LEASE).await;
+            fleet.resume_entry(guardian);
+            sleep(Duration::from_secs(1)).await;
+            fleet.start_target(owner);
+        }
+        Danger::CutGuardian => {
+            fleet.upset_way(&name, &Fault { cut_backward: true, ..Fault::default() });
+            sleep(PAST_THE_LEASE).await;
+            fleet.heal();
+        }
+        Danger::DelayedOrders => {
+            fleet.upset_way(&name, &Fault { delay_ms: 5_000, ..Fault::default() });
+            sleep(Duration::from_secs(6)).await;
+            fleet.heal();
+        }
+        Danger::LostAnswers | Danger::LostRequests => {
+            let lost = matches!(danger, Danger::LostAnswers);
+            fleet.upset_platform(PlatformFault {
+                lose_answers_percent: if lost { 70 } else { 0 },
+                lose_requests_percent: if lost { 0 } else { 70 },
+                ..PlatformFault::default()
+            });
+            fleet.kill_target(owner);
+            sleep(PAST_THE_LEASE).await;
+            fleet.heal();
+            fleet.start_target(owner);
+        }
+        Danger::KilledGuardianAndTarget => {
+            fleet.kill_entry(guardian);
+            fleet.kill_target(owner);
+            sleep(PAST_THE_LEASE).await;
+            // Nothing proves yet that the guardian renews no more; its VM's end does.
+            fleet.list_entry(guardian, State::Gone);
+            let entry = if guardian == 0 { 1 } else { 0 };
+            eventually("the key has another owner", || async {
+                fleet.owner(entry, &key).await.filter(|other| *other != owner)
+            })
+            .await;
+            // A VM that is gone does not come back; the fleet is whole without it.
+            fleet.entries.remove(guardian);
+        }
+    }
+}
+
+macro_rules! dangers {
+    ($($name:ident: $danger:ident, $fenced:literal;)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                survive(Case { danger: Danger::$danger, fenced: $fenced }).await;
+            }
+        )*
+    };
+}
+
+dangers! {
+    one_owner_when_a_target_freezes: FrozenTarget, true;
+    one_owner_when_an_unfenced_target_freezes: FrozenTarget, false;
+    one_owner_when_a_guardian_is_paused: PausedGuardian, true;
+    one_owner_when_a_guardian_of_unfenced_targets_is_paused: PausedGuardian, false;
+    one_owner_when_answers_to_orders_are_cut_off: CutGuardian, true;
+    one_owner_when_answers_of_an_unfenced_target_are_cut_off: CutGuardian, false;
+    one_owner_when_orders_are_late: DelayedOrders, true;
+    one_owner_when_orders_to_an_unfenced_target_are_late: DelayedOrders, false;
+    one_owner_when_answers_of_the_table_are_lost: LostAnswers, true;
+    one_owner_when_writes_to_the_table_are_lost: LostRequests, true;
+    one_owner_when_guardian_and_target_are_killed: KilledGuardianAndTarget, true;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_is_served_again_after_the_loss_of_its_target() {
+    let mut fleet = Fleet::start(Plan::default()).await;
+    let key = fleet.keys()[0].clone();
+    let owner = eventually("the key has an owner", || fleet.owner(0, &key)).await;
+    fleet.kill_target(owner);
+    let path = format!("/{KEYED}/{key}");
+    let answer = fleet.caller.get(fleet.entries[0].callers, &path).await;
+    assert!(answer.is_served() && answer.echoes(&path), "{answer:?}");
+    assert_ne!(answer.served_by.as_deref(), Some(fleet.targets[owner].vm.as_str()));
+    fleet.verify();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn assignments_survive_the_loss_of_every_entry() {
+    let mut fleet = Fleet::start(Plan::default()).await;
+    let before = fleet.status(0).await.expect("the entry answers");
+    for at in 0..fleet.entries.len() {
+        fleet.kill_entry(at);
+    }
+    sleep(PAST_THE_LEASE).await;
+    for at in 0..fleet.entries.len() {
+        fleet.start_entry(at);
+    }
+    for at in 0..fleet.entries.len() {
+        fleet.wait_whole(at).await;
+    }
+    let after = fleet.status(0).await.expect("the entry answers");
+    let shards = |status: &entry::Status| {
+        let service = &status.services[0];
+        let targets = service.targets.iter();
+        let mut owned: Vec<_> = targets.map(|one| (one.vm.clone(), one.shards)).collect();
+        owned.sort();
+        owned
+    };
+    assert_eq!(shards(&before), shards(&after));
+    fleet.verify();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_target_gets_its_share() {
+    let mut fleet = Fleet::start(Plan { keyed: 1, zones: 1, ..Plan::default() }).await;
+    let load = Load::start(&fleet, &[0, 1], 2);
+    let added = fleet.add_target(KEYED, 0).await;
+    let vm = fleet.targets[added].vm.clone();
+    let shards = fleet.plan.shards as usize;
+    eventually("the new target owns nearly half of the shards", || async {
+        let status = fleet.status(0).await?;
+        let targets = status.services[0].targets.clone();
+        let owned = targets.iter().find(|target| target.vm == vm)?.shards;
+        (owned * 5 >= shards * 2).then_some(())
+    })
+    .await;
+    let seen = load.finish().await;
+    let refused: Vec<_> = seen.iter().filter(|one| !one.answer.is_served()).collect();
+    assert!(refused.is_empty(), "{} refused, the first {:?}", refused.len(), refused[0]);
+    fleet.verify();
+    fleet.verify_answers(&seen);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_target_is_emptied_without_a_refusal() {
+    for source in ["target", "list", "operator"] {
+        let fleet = Fleet::start(Plan::default()).await;
+        let key = fleet.keys()[0].clone();
+        let owner = eventually("the key has an owner", || fleet.owner(0, &key)).await;
+        let load = Load::start(&fleet, &[0, 1, 2, 3], 2);
+        let vm = fleet.targets[owner].vm.clone();
+        match source {
+            "target" => fleet.upset_target(owner, json!({ "leaving": true })).await,
+            "list" => fleet.list_target(owner, State::Leaving),
+            _ => assert!(fleet.operate(0, &format!("/drain?vm={vm}&on=true&by=trial")).await),
+        }
+        eventually(&format!("{vm} is empty on the word of the {source}"), || async {
+            let status = fleet.status(0).await?;
+            let targets = status.services[0].targets.clone();
+            let owned = targets.iter().find(|target| target.vm == vm).map_or(0, |one| one.shards);
+            (owned == 0).then_some(())
+        })
+        .await;
+        let seen = load.finish().await;
+        let refused: Vec<_> = seen.iter().filter(|one| !one.answer.is_served()).collect();
+        assert!(
+            refused.is_empty(),
+            "{source}: {} refused, the first {:?}",
+            refused.len(),
+            refused[0]
+        );
+        fleet.verify();
+        fleet.verify_answers(&seen);
+    }
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -10,7 +10,10 @@
         rt::{TokioExecutor, TokioTimer},
     },
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
     tokio::time,
 };
 
@@ -24,11 +27,12 @@
 pub struct Config {
     timeout: Duration,
     body_limit: usize,
+    source: Option<IpAddr>,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { timeout: DEFAULT_TIMEOUT, body_limit: DEFAULT_BODY_LIMIT_BYTES }
+        Self { timeout: DEFAULT_TIMEOUT, body_limit: DEFAULT_BODY_LIMIT_BYTES, source: None }
     }
 }
 
@@ -40,6 +44,13 @@
         self
     }
 
+    /// Sets the address from which connections are opened.
+    #[must_use]
+    pub const fn source(mut self, source: Option<IpAddr>) -> Self {
+        self.source = source;
+        self
+    }
+
     /// Sets the largest answer, in bytes.
     #[must_use]
     pub const fn body_limit(mut self, bytes: usize) -> Self {
@@ -52,6 +63,7 @@
     pub fn build(self) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_local_address(self.source);
         connector.set_connect_timeout(Some(self.timeout));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
