Test each rule of ownership by the case in which it matters

Each rule now has a case of its own that drives the decisions directly: lapse, stop of the deputies, leases of ended processes, unfenced targets, late answers to writes, the marker of the first rows, and a table of orders with the verdict of a target on each.

--- /dev/null
+++ b/crates/own/tests/rules.rs
@@ -0,0 +1,473 @@
+//! The rules of ownership one by one, each with the case in which it matters.
+
+use {
+    conf::{Text, services::Fencing},
+    key::{Fence, Incarnation, Process, Shard, Stamp, Term, Version, Vm, Zone, clock::Tick},
+    own::{
+        Action, Answered, Config, Event, Node, Peer, Role, Row, Sent, Write,
+        cell::{self, Slot, Target},
+        lease::{Answer, Held, Holder, Offer, Terms, Verdict, digest},
+        stop,
+    },
+    platform::{
+        Commit,
+        vms::{Listed, State},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const TERMS: Terms = Terms {
+    ttl: Duration::from_millis(1_000),
+    renew: Duration::from_millis(200),
+    suspect: Duration::from_millis(500),
+    drift: Duration::from_millis(10),
+    peer_lost: Duration::from_millis(400),
+    drain: Duration::from_millis(5_000),
+};
+
+const LIFE: Duration = Duration::from_millis(1_010);
+const STEP: Duration = Duration::from_millis(10);
+const TARGETS: usize = 2;
+
+fn process(vm: &str) -> Process {
+    Process { vm: Vm::from(vm), incarnation: Incarnation::from(7) }
+}
+
+fn name() -> cell::Name {
+    cell::Name { service: "folds".into(), zone: Zone::from("a"), index: 0 }
+}
+
+fn vm(target: usize) -> Vm {
+    Vm::from(format!("t{target}").as_str())
+}
+
+/// A process `me` of zone a, two targets that answer every order, and a table that takes no write
+/// until it is told to.
+struct Bench {
+    node: Node,
+    now: Tick,
+    holders: Vec<Option<Holder>>,
+    writes: Vec<Write>,
+    asks: Vec<stop::Ask>,
+    fencing: Fencing,
+    /// The entries that answer signs of life.
+    alive: Vec<&'static str>,
+}
+
+impl Bench {
+    fn new(fencing: Fencing) -> Self {
+        let now = Tick::from(60_000_000);
+        let config = Config {
+            me: process("me"),
+            zone: Zone::from("a"),
+            terms: TERMS,
+            balance_every: Duration::from_secs(3_600),
+        };
+        let word = if fencing == Fencing::Full { "full" } else { "lease" };
+        let text = format!(
+            r#"{{ "services": [{{ "name": "folds",
+            "keyed": {{ "key": {{ "segment": 1 }}, "shards": 4, "fencing": "{word}" }} }}] }}"#,
+        );
+        let mut node = Node::new(config, now);
+        node.handle(Event::Services(Arc::new(Text::parse(&text).unwrap())), now);
+        let holders = (0..TARGETS).map(|at| Some(Holder::new(fencing, incarnation(at)))).collect();
+        let mut bench = Self {
+            node,
+            now,
+            holders,
+            writes: Vec::new(),
+            asks: Vec::new(),
+            fencing,
+            alive: Vec::new(),
+        };
+        let listed = (0..TARGETS).map(|at| bench.listed(at, State::Live)).collect();
+        bench.feed(Event::Vms(listed));
+        bench
+    }
+
+    fn listed(&self, at: usize, state: State) -> Listed {
+        let (vm, zone) = (vm(at), Zone::from("a"));
+        Listed { vm, role: "folds".into(), zone, address: address(at), state }
+    }
+
+    /// Returns a row in which each target owns two of the four shards.
+    fn row(&self, guardian: &str, deputies: &[&str]) -> Row {
+        let slot = |shard: u32| Slot {
+            shard: Shard::from(shard),
+            owner: Some(shard % TARGETS as u32),
+            fence: Fence::from(1),
+        };
+        Row {
+            term: Term::from(1),
+            guardian: Some(process(guardian)),
+            deputies: deputies.iter().map(|vm| process(vm)).collect(),
+            targets: (0..TARGETS).map(|at| Target { vm: vm(at), address: address(at) }).collect(),
+            slots: (0..4).map(slot).collect(),
+            ..Row::empty(name())
+        }
+    }
+
+    fn look(&mut self, version: u64, row: Row) {
+        let began = self.now;
+        self.feed(Event::Table { began, rows: vec![(Version::from(version), row)] });
+    }
+
+    fn feed(&mut self, event: Event) {
+        for action in self.node.handle(event, self.now) {
+            match action {
+                Action::Offer { target, offer } => self.offer(&target.vm, &offer),
+                Action::Write(write) => self.write(write),
+                Action::AskStop { ask, .. } => self.asks.push(ask),
+                Action::Publish { .. } | Action::Record(_) => {}
+            }
+        }
+    }
+
+    /// Lets a write take effect at once if it takes no shards away.
+    fn write(&mut self, write: Write) {
+        self.writes.push(write.clone());
+        let only_renewers = write.rows.iter().all(|(base, row)| {
+            *base > Version::ZERO
+                && row.guardian == Some(process("me"))
+                && row.term == Term::from(1)
+        });
+        if only_renewers && !(0..TARGETS).any(|target| self.takes_from(target)) {
+            let versions = write.rows.iter().map(|(base, _)| base.next()).collect();
+            self.feed(Event::Written { id: write.id, result: Commit::Committed(versions) });
+        }
+    }
+
+    fn offer(&mut self, to: &Vm, offer: &Offer) {
+        let at = (0..TARGETS).find(|at| vm(*at) == *to).unwrap();
+        let Some(holder) = &mut self.holders[at] else {
+            return self.feed(Event::Failed { cell: name(), vm: to.clone() });
+        };
+        let verdict = holder.obey(offer);
+        let answer = Answer {
+            now_ms: self.now.millis(),
+            incarnation: incarnation(at),
+            leaving: false,
+            verdict,
+            stamp: holder.stamp(),
+            busy: Vec::new(),
+        };
+        let (vm, sent, received) = (to.clone(), Sent::from(offer), self.now);
+        self.feed(Event::Answered(Answered { cell: name(), vm, sent, received, answer }));
+    }
+
+    /// Lets time go by, with a look at the table at each step that shows nothing new.
+    fn run(&mut self, span: Duration) {
+        let end = self.now.plus(span);
+        while self.now < end {
+            self.now = self.now.plus(STEP);
+            let began = self.now;
+            self.feed(Event::Table { began, rows: Vec::new() });
+            for vm in self.alive.clone() {
+                let peer = Peer { process: process(vm), zone: Zone::from("a"), leaving: false };
+                self.feed(Event::Peer { peer, asked: began });
+            }
+        }
+    }
+
+    /// Tells whether a write on its way takes shards from a target.
+    fn takes_from(&self, target: usize) -> bool {
+        let owned = |row: &Row| row.owned(&vm(target)).len();
+        self.writes.iter().any(|write| write.rows.iter().any(|(_, row)| owned(row) < 2))
+    }
+}
+
+fn incarnation(at: usize) -> Incarnation {
+    Incarnation::from(100 + at as u64)
+}
+
+fn address(at: usize) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], 9_000 + at as u16))
+}
+
+#[test]
+fn a_lost_target_keeps_its_shards_until_its_last_lease_has_run_out() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("me", &[]);
+    bench.look(1, row);
+    bench.run(Duration::from_secs(2));
+    bench.holders[0] = None;
+    bench.run(LIFE - TERMS.renew - STEP * 2);
+    assert!(!bench.takes_from(0), "the lease may still run");
+    bench.run(TERMS.renew + STEP * 4);
+    assert!(bench.takes_from(0), "the lease has run out");
+}
+
+#[test]
+fn a_lost_target_keeps_its_shards_until_the_deputies_have_stopped() {
+    let mut bench = Bench::new(Fencing::Full);
+    bench.alive.push("deputy");
+    bench.run(STEP);
+    let row = bench.row("me", &["deputy"]);
+    bench.look(1, row);
+    bench.run(Duration::from_secs(2));
+    bench.holders[0] = None;
+    bench.run(LIFE * 4);
+    assert!(!bench.takes_from(0), "the deputy may still renew");
+    let ask = bench.asks.iter().find(|ask| ask.target == Some(vm(0))).cloned().unwrap();
+    let ends_in = Duration::from_millis(300);
+    let ack = stop::Ack { process: process("deputy"), ends_in };
+    let received = bench.now;
+    bench.feed(Event::StopAcked { ask, ack, received });
+    bench.run(ends_in - STEP * 2);
+    assert!(!bench.takes_from(0), "a lease that the deputy gave may still run");
+    bench.run(STEP * 8);
+    assert!(bench.takes_from(0), "every lease has run out");
+}
+
+#[test]
+fn the_leases_of_a_process_count_for_a_while_after_its_end() {
+    let mut bench = Bench::new(Fencing::Full);
+    bench.alive.push("deputy");
+    bench.run(STEP);
+    let row = bench.row("me", &["deputy"]);
+    bench.look(1, row);
+    bench.run(Duration::from_secs(2));
+    bench.holders[0] = None;
+    bench.run(LIFE * 4);
+    bench.alive.clear();
+    bench.feed(Event::Ended(process("deputy")));
+    bench.run(LIFE - STEP * 2);
+    assert!(!bench.takes_from(0), "it may have renewed just before its end");
+    bench.run(STEP * 4);
+    assert!(bench.takes_from(0), "its last lease has run out");
+}
+
+#[test]
+fn an_unfenced_target_keeps_its_shards_until_earlier_orders_have_run_out() {
+    for (fencing, at_once) in [(Fencing::Full, true), (Fencing::Lease, false)] {
+        let mut bench = Bench::new(fencing);
+        let row = bench.row("me", &[]);
+        bench.look(1, row);
+        bench.run(Duration::from_secs(2));
+        bench.feed(Event::Drained([vm(0)].into()));
+        bench.run(STEP * 3);
+        assert_eq!(bench.takes_from(0), at_once, "{:?}", bench.fencing);
+        bench.run(LIFE);
+        assert!(bench.takes_from(0), "{:?}: earlier orders have run out", bench.fencing);
+    }
+}
+
+#[test]
+fn a_promise_outlives_the_late_answer_to_a_write() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("other", &["me"]);
+    bench.look(1, row);
+    bench.run(LIFE);
+    let write = bench.writes.first().cloned().expect("the silent guardian's cell is claimed");
+    let ask =
+        stop::Ask { cell: name(), term: Term::from(3), version: Version::from(3), target: None };
+    bench.node.stop(&ask, bench.now).expect("nothing newer is known");
+    bench.feed(Event::Written { id: write.id, result: Commit::Committed(vec![Version::from(2)]) });
+    assert_eq!(bench.node.role(&name()), Role::Observer, "the promise covers the row it wrote");
+}
+
+#[test]
+fn a_stop_is_not_promised_on_an_old_row() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("other", &["me"]);
+    bench.look(5, row);
+    let ask = |version: u64| stop::Ask {
+        cell: name(),
+        term: Term::from(1),
+        version: Version::from(version),
+        target: Some(vm(0)),
+    };
+    assert!(bench.node.stop(&ask(4), bench.now).is_err());
+    assert!(bench.node.stop(&ask(5), bench.now).is_ok());
+}
+
+#[test]
+fn only_a_row_that_was_known_before_proves_the_end_of_a_predecessor() {
+    // Whether the row was known before the question to the successor was sent.
+    for (known_before, ended) in [(true, true), (false, false)] {
+        let mut bench = Bench::new(Fencing::Full);
+        let row = bench.row("entry", &[]);
+        let other = Process { incarnation: Incarnation::from(8), ..process("entry") };
+        let peer = Peer { process: other, zone: Zone::from("a"), leaving: false };
+        let asked = bench.now;
+        if known_before {
+            bench.look(1, row.clone());
+        }
+        let asked = if known_before { asked.plus(STEP) } else { asked };
+        bench.now = bench.now.plus(STEP * 2);
+        bench.feed(Event::Peer { peer, asked });
+        if !known_before {
+            bench.look(1, row);
+        }
+        assert_eq!(bench.node.awaited(&name()).is_empty(), ended, "known before: {known_before}");
+    }
+}
+
+#[test]
+fn the_first_rows_of_a_service_are_written_once_for_all_cells() {
+    let mut bench = Bench::new(Fencing::Full);
+    bench.run(Duration::from_secs(2));
+    let write = bench.writes.first().expect("the first rows are written");
+    let transaction = write.transaction();
+    let marker = transaction.conditions.iter().find(|condition| condition.name == "dealt/folds");
+    assert_eq!(marker.map(|marker| marker.version), Some(Version::ZERO));
+    let versions = vec![Version::from(1); transaction.writes.len()];
+    let rows = write.rows.len();
+    assert_eq!(
+        write.result(Commit::Committed(versions)),
+        Commit::Committed(vec![Version::from(1); rows])
+    );
+}
+
+#[test]
+fn a_write_without_an_answer_is_repeated_unchanged_and_known_by_its_token() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("me", &[]);
+    bench.look(1, row);
+    bench.run(Duration::from_secs(2));
+    bench.holders[0] = None;
+    bench.run(LIFE * 2);
+    let first = bench.writes.last().cloned().expect("the shards are given away");
+    bench.feed(Event::Written { id: first.id, result: Commit::Ambiguous });
+    bench.run(Duration::from_millis(400));
+    let second = bench.writes.last().cloned().expect("the write is repeated");
+    assert_eq!(first.rows, second.rows);
+    assert_ne!(first.id, second.id);
+    let (base, row) = second.rows[0].clone();
+    let current = platform::Row {
+        name: name().row_name().into(),
+        version: base.next(),
+        value: Some(row.encode()),
+    };
+    bench.feed(Event::Written { id: second.id, result: Commit::Conflict(vec![current]) });
+    let known = bench.node.rows().next().expect("the row is known");
+    assert_eq!((known.0, &**known.1), (base.next(), &row));
+}
+
+#[test]
+fn a_target_that_returns_during_an_unconfirmed_write_is_not_renewed() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("me", &[]);
+    bench.look(1, row);
+    bench.run(Duration::from_secs(2));
+    let lost = bench.holders[0].take();
+    bench.run(LIFE * 2);
+    assert!(bench.takes_from(0));
+    let write = bench.writes.last().cloned().unwrap();
+    bench.feed(Event::Written { id: write.id, result: Commit::Ambiguous });
+    bench.holders[0] = lost;
+    bench.run(LIFE * 2);
+    let held = bench.holders[0].as_ref().unwrap().held(bench.now.millis()).count();
+    assert_eq!(held, 0, "the write may have given its shards to another");
+}
+
+/// An order and what a target that holds shard 1 under stamp 2.2.0 makes of it.
+struct Order {
+    stamp: (u64, u64, u64),
+    incarnation: u64,
+    deadline_ms: Option<u64>,
+    listed: bool,
+    full: Verdict,
+    lease: Verdict,
+}
+
+const ORDERS: [Order; 7] = [
+    Order {
+        stamp: (2, 2, 0),
+        incarnation: 1,
+        deadline_ms: Some(900),
+        listed: true,
+        full: Verdict::Accepted,
+        lease: Verdict::Accepted,
+    },
+    Order {
+        stamp: (2, 2, 1),
+        incarnation: 1,
+        deadline_ms: Some(900),
+        listed: true,
+        full: Verdict::Accepted,
+        lease: Verdict::Accepted,
+    },
+    Order {
+        stamp: (2, 1, 9),
+        incarnation: 1,
+        deadline_ms: Some(900),
+        listed: true,
+        full: Verdict::Stale,
+        lease: Verdict::Accepted,
+    },
+    Order {
+        stamp: (1, 9, 0),
+        incarnation: 1,
+        deadline_ms: Some(900),
+        listed: true,
+        full: Verdict::Stale,
+        lease: Verdict::Accepted,
+    },
+    Order {
+        stamp: (3, 3, 0),
+        incarnation: 1,
+        deadline_ms: Some(900),
+        listed: false,
+        full: Verdict::NeedsShards,
+        lease: Verdict::NeedsShards,
+    },
+    Order {
+        stamp: (3, 3, 0),
+        incarnation: 2,
+        deadline_ms: Some(900),
+        listed: true,
+        full: Verdict::OtherIncarnation,
+        lease: Verdict::OtherIncarnation,
+    },
+    Order {
+        stamp: (3, 3, 0),
+        incarnation: 1,
+        deadline_ms: None,
+        listed: false,
+        full: Verdict::Accepted,
+        lease: Verdict::Accepted,
+    },
+];
+
+fn order(stamp: (u64, u64, u64), shard: u32, deadline_ms: Option<u64>, listed: bool) -> Offer {
+    let shards = vec![Held { shard: Shard::from(shard), fence: Fence::from(1) }];
+    let (term, version, seq) = stamp;
+    Offer {
+        cell: name(),
+        from: process("me"),
+        stamp: Stamp { term: Term::from(term), version: Version::from(version), seq },
+        incarnation: None,
+        deadline_ms,
+        digest: digest(&shards),
+        shards: listed.then_some(shards),
+    }
+}
+
+#[test]
+fn targets_obey_by_stamp_incarnation_and_list() {
+    for fencing in [Fencing::Full, Fencing::Lease] {
+        for case in &ORDERS {
+            let mut holder = Holder::new(fencing, Incarnation::from(1));
+            assert_eq!(holder.obey(&order((2, 2, 0), 1, Some(500), true)), Verdict::Accepted);
+            let mut offer = order(case.stamp, 2, case.deadline_ms, case.listed);
+            offer.incarnation = Some(Incarnation::from(case.incarnation));
+            let expected = if fencing == Fencing::Full { case.full } else { case.lease };
+            assert_eq!(holder.obey(&offer), expected, "{fencing:?} {:?}", case.stamp);
+            let obeyed = expected == Verdict::Accepted && case.deadline_ms.is_some();
+            let fence = Fence::from(1);
+            assert_eq!(holder.holds(Shard::from(2), fence, 400), obeyed, "{:?}", case.stamp);
+            assert_eq!(holder.holds(Shard::from(1), fence, 400), !obeyed, "{:?}", case.stamp);
+            assert!(!holder.holds(Shard::from(2), fence, 900), "a lease ends at its deadline");
+        }
+    }
+}
+
+#[test]
+fn a_target_that_compares_fences_runs_nothing_under_another() {
+    for (fencing, runs) in [(Fencing::Full, false), (Fencing::Lease, true)] {
+        let mut holder = Holder::new(fencing, Incarnation::from(1));
+        holder.obey(&order((1, 1, 0), 1, Some(500), true));
+        assert_eq!(holder.holds(Shard::from(1), Fence::from(2), 100), runs, "{fencing:?}");
+    }
+}
