--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -4,7 +4,7 @@
 mod fleet;
 mod input;
 pub(crate) mod operator;
-mod routing;
+pub(crate) mod routing;
 mod shipper;
 mod state;
 mod table;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod control;
 mod error;
+pub mod probe;
 mod process;
 mod shared;
 mod snapshot;
--- a/crates/own/tests/rules.rs
+++ b/crates/own/tests/rules.rs
@@ -52,10 +52,16 @@
     fencing: Fencing,
     /// The entries that answer signs of life.
     alive: Vec<&'static str>,
+    /// Whether no write is answered.
+    mute: bool,
 }
 
 impl Bench {
     fn new(fencing: Fencing) -> Self {
+        Self::with(fencing, "\"hold\"")
+    }
+
+    fn with(fencing: Fencing, isolation: &str) -> Self {
         let now = Tick::from(60_000_000);
         let config = Config {
             me: process("me"),
@@ -66,7 +72,8 @@
         let word = if fencing == Fencing::Full { "full" } else { "lease" };
         let text = format!(
             r#"{{ "services": [{{ "name": "folds",
-            "keyed": {{ "key": {{ "segment": 1 }}, "shards": 4, "fencing": "{word}" }} }}] }}"#,
+            "keyed": {{ "key": {{ "segment": 1 }}, "shards": 4, "fencing": "{word}",
+            "isolation": {isolation} }} }}] }}"#,
         );
         let mut node = Node::new(config, now);
         node.handle(Event::Services(Arc::new(Text::parse(&text).unwrap())), now);
@@ -79,6 +86,7 @@
             asks: Vec::new(),
             fencing,
             alive: Vec::new(),
+            mute: false,
         };
         let listed = (0..TARGETS).map(|at| bench.listed(at, State::Live)).collect();
         bench.feed(Event::Vms(listed));
@@ -131,7 +139,7 @@
                 && row.guardian == Some(process("me"))
                 && row.term == Term::from(1)
         });
-        if only_renewers && !(0..TARGETS).any(|target| self.takes_from(target)) {
+        if !self.mute && only_renewers && !(0..TARGETS).any(|target| self.takes_from(target)) {
             let versions = write.rows.iter().map(|(base, _)| base.next()).collect();
             self.feed(Event::Written { id: write.id, result: Commit::Committed(versions) });
         }
@@ -169,6 +177,12 @@
         }
     }
 
+    /// Returns the number of shards that a target holds now.
+    fn held(&self, target: usize) -> usize {
+        let now_ms = self.now.millis();
+        self.holders[target].as_ref().map_or(0, |holder| holder.held(now_ms).count())
+    }
+
     /// Tells whether a write on its way takes shards from a target.
     fn takes_from(&self, target: usize) -> bool {
         let owned = |row: &Row| row.owned(&vm(target)).len();
@@ -266,6 +280,50 @@
     assert_eq!(bench.node.role(&name()), Role::Observer, "the promise covers the row it wrote");
 }
 
+#[test]
+fn a_guardian_that_cannot_withdraw_an_intent_stops_at_the_limit() {
+    const LIMIT: Duration = Duration::from_millis(1_500);
+    let mut bench = Bench::with(Fencing::Full, "{ \"move_after_ms\": 1500 }");
+    let row = bench.row("me", &[]);
+    bench.look(1, row.clone());
+    bench.run(LIMIT * 3);
+    assert_eq!(bench.held(0), 2, "looks at the table go on");
+    bench.mute = true;
+    bench.look(2, Row { closing: Some(cell::Closing { by: process("other") }), ..row });
+    let seen = bench.now;
+    // The table can be looked at all the time, yet each look shows the intent.
+    bench.run(LIMIT + LIFE + STEP * 2);
+    assert_eq!((bench.held(0), bench.held(1)), (0, 0), "seen at {seen}, now {}", bench.now);
+}
+
+#[test]
+fn a_deputy_renews_until_it_has_promised_to_stop() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("other", &["me"]);
+    bench.mute = true;
+    bench.look(1, row);
+    bench.run(LIFE * 2);
+    assert_eq!((bench.held(0), bench.held(1)), (2, 2), "the guardian is silent");
+    let (term, version) = (Term::from(1), Version::from(1));
+    let ask = stop::Ask { cell: name(), term, version, target: Some(vm(0)) };
+    let ack = bench.node.stop(&ask, bench.now).expect("nothing newer is known");
+    bench.run(ack.ends_in + STEP);
+    assert_eq!((bench.held(0), bench.held(1)), (0, 2), "only the target of the promise lapses");
+}
+
+#[test]
+fn a_new_guardian_counts_the_leases_of_the_one_before() {
+    let mut bench = Bench::new(Fencing::Full);
+    let row = bench.row("other", &[]);
+    bench.look(1, row.clone());
+    bench.holders[0] = None;
+    bench.look(2, Row { guardian: Some(process("me")), ..row });
+    bench.run(LIFE - STEP * 2);
+    assert!(!bench.takes_from(0), "the one before may have renewed just before");
+    bench.run(STEP * 4);
+    assert!(bench.takes_from(0), "its last lease has run out");
+}
+
 #[test]
 fn a_stop_is_not_promised_on_an_old_row() {
     let mut bench = Bench::new(Fencing::Full);
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -65,6 +65,7 @@
 pub struct Proxy {
     fault: Mutex<Fault>,
     opened: AtomicU64,
+    passed: AtomicU64,
 }
 
 impl Proxy {
@@ -77,6 +78,12 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Returns the bytes that passed in both directions.
+    #[must_use]
+    pub fn passed(&self) -> u64 {
+        self.passed.load(Ordering::Relaxed)
+    }
+
     /// Makes every connection that is open now silent for good, while new ones work.
     pub fn silence_open(&self) {
         let opened = self.opened.load(Ordering::Relaxed);
@@ -159,6 +166,7 @@
             let fault = self.fault();
             time::sleep(Duration::from_millis(fault.delay_ms)).await;
             passed += count as u64;
+            self.passed.fetch_add(count as u64, Ordering::Relaxed);
             if let Some(limit) =
                 fault.reset_after.filter(|limit| way == Way::Backward && passed > *limit)
             {
--- /dev/null
+++ b/crates/trial/src/bin/measure/main.rs
@@ -0,0 +1,40 @@
+//! Measurements, each with the command that repeats it: `measure NAME`. Figures are printed as they
+//! were seen; nothing is judged here.
+
+mod latency;
+mod outage;
+mod recovery;
+mod slopes;
+mod stats;
+
+use {
+    stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc},
+    std::{alloc::System, env, process::ExitCode},
+};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const NAMES: &str = "latency | recovery | recovery-shards | configuration | isolation | slopes";
+
+fn main() -> ExitCode {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let Ok(runtime) = runtime else { return ExitCode::FAILURE };
+    match env::args().nth(1).as_deref() {
+        Some("latency") => runtime.block_on(latency::run()),
+        Some("recovery") => runtime.block_on(recovery::run()),
+        Some("recovery-shards") => runtime.block_on(recovery::by_shards()),
+        Some("configuration") => runtime.block_on(outage::configuration()),
+        Some("isolation") => runtime.block_on(outage::isolation()),
+        Some("slopes") => {
+            slopes::decisions();
+            runtime.block_on(slopes::processes());
+        }
+        _ => {
+            eprintln!("usage: measure {NAMES}");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -371,7 +371,7 @@
 
     /// Sets the faults of a target itself.
     pub async fn upset_target(&self, at: usize, fault: Value) {
-        let address = self.targets[at].arguments[2].parse().expect("the address is valid");
+        let address = self.target_address(at);
         let (): () =
             self.wire.post(address, "/admin/fault", &fault).await.expect("the target answers");
     }
@@ -440,6 +440,25 @@
         self.wire.get(self.entries[at].operators, "/history?limit=2000").await.ok()
     }
 
+    /// Returns the processor time of a thread of an entry, or of all its threads.
+    #[must_use]
+    pub fn entry_cpu(&self, at: usize, thread: Option<&str>) -> Duration {
+        const TICK: Duration = Duration::from_millis(10);
+        let ticks =
+            self.entries[at].process.as_ref().map_or(0, |process| process.cpu_ticks(thread));
+        TICK * ticks as u32
+    }
+
+    /// Returns where a target listens, behind its proxy if it has one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its arguments hold no address, which they always do.
+    #[must_use]
+    pub fn target_address(&self, at: usize) -> SocketAddr {
+        self.targets[at].arguments[2].parse().expect("the address is valid")
+    }
+
     /// Returns the resident memory of an entry in kilobytes.
     #[must_use]
     pub fn entry_memory_kb(&self, at: usize) -> u64 {
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -82,6 +82,23 @@
         self.signal(Signal::TERM);
     }
 
+    /// Returns the processor time of the thread of that name, or of all, in clock ticks of 10 ms.
+    pub(crate) fn cpu_ticks(&self, thread: Option<&str>) -> u64 {
+        let folder = format!("/proc/{}/task", self.child.id());
+        let Ok(tasks) = std::fs::read_dir(folder) else { return 0 };
+        let ticks = tasks.flatten().filter_map(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).ok()?;
+            let (name, rest) = stat.split_once('(')?.1.rsplit_once(')')?;
+            if thread.is_some_and(|thread| thread != name) {
+                return None;
+            }
+            let fields: Vec<&str> = rest.split_whitespace().collect();
+            // The user and system time are the fields 14 and 15 of the whole line.
+            Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+        });
+        ticks.sum()
+    }
+
     /// Returns the resident memory in kilobytes.
     pub(crate) fn memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
--- a/crates/trial/tests/configuration.rs
+++ b/crates/trial/tests/configuration.rs
@@ -103,7 +103,7 @@
     for (wrong, line) in cases {
         match fleet.put(0, base, wrong, "trial").await {
             Err(Some(Conflict::Invalid { line: found, .. })) => {
-                assert_eq!(found, Some(line), "{wrong}")
+                assert_eq!(found, Some(line), "{wrong}");
             }
             other => panic!("{wrong}: {other:?}"),
         }
--- a/crates/trial/tests/requests.rs
+++ b/crates/trial/tests/requests.rs
@@ -293,20 +293,34 @@
     assert!(highest - before < GROWTH_LIMIT_KB, "grew from {before} to {highest} KB");
 }
 
+/// A request that cannot be taken on.
+struct Wrong {
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    status: u16,
+    reason: &'static str,
+}
+
+const WRONG: [Wrong; 4] = [
+    Wrong { path: "/nothing/here", headers: &[], status: 404, reason: "unknown-service" },
+    Wrong { path: "/ledger", headers: &[], status: 400, reason: "no-key" },
+    Wrong { path: "/ledger/", headers: &[], status: 400, reason: "no-key" },
+    Wrong {
+        path: "/ledger/x",
+        headers: &[("x-deadline-ms", "soon")],
+        status: 400,
+        reason: "bad-header",
+    },
+];
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn wrong_requests_get_typed_refusals() {
     let fleet = Fleet::start(Plan::default()).await;
-    let cases: [(&str, &[(&str, &str)], u16, &str); 4] = [
-        ("/nothing/here", &[], 404, "unknown-service"),
-        ("/ledger", &[], 400, "no-key"),
-        ("/ledger/", &[], 400, "no-key"),
-        ("/ledger/x", &[("x-deadline-ms", "soon")], 400, "bad-header"),
-    ];
-    for (path, headers, status, reason) in cases {
-        let to = fleet.entries[0].callers;
-        let answer = fleet.caller.send(Method::GET, to, path, headers, "").await;
-        assert_eq!(answer.status, status, "{path}: {answer:?}");
-        assert_eq!(answer.reason.as_deref(), Some(reason), "{path}: {answer:?}");
+    for wrong in &WRONG {
+        let (to, path) = (fleet.entries[0].callers, wrong.path);
+        let answer = fleet.caller.send(Method::GET, to, path, wrong.headers, "").await;
+        assert_eq!(answer.status, wrong.status, "{path}: {answer:?}");
+        assert_eq!(answer.reason.as_deref(), Some(wrong.reason), "{path}: {answer:?}");
         assert!(answer.is_not_run(), "{path}: {answer:?}");
     }
 }
