Empty the last target of a zone into another zone

Cause: on the running demo a drained target kept its shards, because the other target of its cell had been killed and shards were only moved within a cell. Ruled out: the drain not arriving (the status said leaving). A guardian whose targets all leave now gives the shards up if another cell can serve them.

Also: the explanation of a key names only silent processes as awaited; it named the guardian itself when asked elsewhere. Command errors have types.

--- a/crates/almondworks/src/error.rs
+++ b/crates/almondworks/src/error.rs
@@ -10,8 +10,14 @@
 /// A failed command.
 #[derive(Debug, Derive)]
 pub(crate) enum Error {
-    #[error("{0}")]
-    Usage(String),
+    #[error("--at IP:PORT is missing")]
+    NoAddress,
+    #[error("config needs one of check, get, put, diff, log")]
+    NoConfigCommand,
+    #[error("--confirm must repeat the name of the VM; nothing was sent")]
+    Unconfirmed,
+    #[error("the entry's answer cannot be read: {0}")]
+    Answer(#[from] serde_json::Error),
     #[error("{}: {error}", file.display())]
     Text { file: PathBuf, error: conf::Error },
     #[error("{}: {error}", file.display())]
@@ -33,7 +39,11 @@
 impl Error {
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage(_) | Self::Text { .. } | Self::File { .. } => exit::INVALID,
+            Self::NoAddress
+            | Self::NoConfigCommand
+            | Self::Unconfirmed
+            | Self::Text { .. }
+            | Self::File { .. } => exit::INVALID,
             Self::Conflict(conflict) => match **conflict {
                 Conflict::Version(_) => exit::CONFLICT,
                 Conflict::Invalid { .. } => exit::INVALID,
--- a/crates/almondworks/src/main.rs
+++ b/crates/almondworks/src/main.rs
@@ -60,7 +60,7 @@
         Command::Config(arguments) => match arguments.command {
             Some(ConfigCommand::Check(check)) => self::check(&check.file),
             Some(other) => operator::config(other),
-            None => Err(Error::Usage("config needs one of check, get, put, diff, log".into())),
+            None => Err(Error::NoConfigCommand),
         },
         Command::Status(arguments) => operator::status(&arguments),
         Command::Why(arguments) => operator::why(&arguments),
--- a/crates/almondworks/src/operator.rs
+++ b/crates/almondworks/src/operator.rs
@@ -29,7 +29,7 @@
     path: &str,
     body: Vec<u8>,
 ) -> Result<T, Error> {
-    let at = at.ok_or_else(|| Error::Usage("--at IP:PORT is missing".into()))?;
+    let at = at.ok_or(Error::NoAddress)?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let client = wire::Config::default().timeout(TIMEOUT).build();
     let sent = runtime.block_on(client.send(method, at, path, body.into()));
@@ -41,8 +41,7 @@
         },
         _ => Error::Wire(error),
     })?;
-    serde_json::from_slice(&bytes)
-        .map_err(|error| Error::Usage(format!("the entry's answer cannot be read: {error}")))
+    Ok(serde_json::from_slice(&bytes)?)
 }
 
 fn get<T: DeserializeOwned>(at: Option<SocketAddr>, path: &str) -> Result<T, Error> {
@@ -170,8 +169,7 @@
 
 pub(crate) fn vouch(arguments: &VouchArguments) -> Result<ExitCode, Error> {
     if arguments.confirm != arguments.vm {
-        let problem = "--confirm must repeat the name of the VM; nothing was sent".to_owned();
-        return Err(Error::Usage(problem));
+        return Err(Error::Unconfirmed);
     }
     let (vm, by) = (encode(&arguments.vm), encode(&arguments.by));
     let path = format!("/vouch?vm={vm}&by={by}");
--- a/crates/entry/src/control/state/answers.rs
+++ b/crates/entry/src/control/state/answers.rs
@@ -263,7 +263,7 @@
             cell: row.name.to_string(),
             version,
             guardian: row.guardian.clone(),
-            awaited: self.node.awaited(&row.name),
+            awaited: self.node.awaited(&row.name, Tick::now()),
             decided: None,
             recent: Vec::new(),
         })
--- a/crates/own/src/guardian.rs
+++ b/crates/own/src/guardian.rs
@@ -226,11 +226,20 @@
             || self.renewer.links.iter().any(pending)
     }
 
-    /// Considers everything that may need a change of the row.
+    /// Tells whether every target that could take shards is leaving, so that only other cells can.
+    pub(crate) fn is_emptying(&self, view: &View<'_>) -> bool {
+        let links = &self.renewer.links;
+        links.iter().any(|link| is_leaving(link, view) && !link.owned.is_empty())
+            && !links.iter().any(|link| is_usable(link, view))
+    }
+
+    /// Considers everything that may need a change of the row; `elsewhere` tells whether another
+    /// cell could take shards that no target of this one can.
     pub(crate) fn draft(
         &mut self,
         view: &View<'_>,
         ledger: &Ledger,
+        elsewhere: bool,
         now: Tick,
         actions: &mut Vec<Action>,
     ) -> Option<Draft> {
@@ -239,7 +248,7 @@
         }
         self.drafted = now;
         self.abandon(view, now, actions);
-        self.revoke(view, ledger, now);
+        self.revoke(view, ledger, elsewhere, now);
         let mut draft = Draft {
             row: (*self.renewer.row).clone(),
             decisions: Vec::new(),
@@ -369,9 +378,9 @@
     }
 
     /// Starts the planned moves: everything off targets that leave, and some for balance.
-    fn revoke(&mut self, view: &View<'_>, ledger: &Ledger, now: Tick) {
-        let usable = self.renewer.links.iter().filter(|link| is_usable(link, view)).count();
-        if usable == 0 || !view.table_is_well(now) {
+    fn revoke(&mut self, view: &View<'_>, ledger: &Ledger, elsewhere: bool, now: Tick) {
+        let usable = self.renewer.links.iter().any(|link| is_usable(link, view));
+        if !(usable || elsewhere) || !view.table_is_well(now) {
             // A move whose write cannot be confirmed would leave its shards without an owner.
             return;
         }
--- a/crates/own/src/node.rs
+++ b/crates/own/src/node.rs
@@ -392,12 +392,15 @@
             self.resign(name, now, actions);
             return;
         }
+        let alone = matches!(&cell.part, Part::Guardian(guardian) if guardian.is_emptying(&view));
+        let elsewhere = alone && !self.receivers(name, now).is_empty();
+        let Some(cell) = self.cells.get_mut(name) else { return };
         let until = renew_until(&view, cell.looked);
         let rights = Rights { me: view.me, terms: view.terms, until };
         match &mut cell.part {
             Part::Guardian(guardian) => {
                 guardian.renewer.suspect(now, view.terms, actions);
-                let draft = guardian.draft(&view, &self.ledger, now, actions);
+                let draft = guardian.draft(&view, &self.ledger, elsewhere, now, actions);
                 let draft = draft.filter(|_| self.writes.may_start(name, now));
                 if let Some(draft) = &draft {
                     guardian.sent(draft);
@@ -425,13 +428,14 @@
         self.world.loads(service)
     }
 
-    /// Returns the processes that have not stopped and could still renew a target's lease.
+    /// Returns the silent processes that are not proved to have stopped renewing.
     #[must_use]
-    pub fn awaited(&self, name: &cell::Name) -> Vec<Process> {
+    pub fn awaited(&self, name: &cell::Name, now: Tick) -> Vec<Process> {
         let Some(cell) = self.cells.get(name) else { return Vec::new() };
         let view = self.world.view(&name.service, self.resigning, self.read_at);
         let others = cell.row.renewers().filter(|process| *process != view.me);
-        others.filter(|process| !view.has_ended(process)).cloned().collect()
+        let silent = |process: &&Process| !view.has_ended(process) && !view.is_alive(process, now);
+        others.filter(silent).cloned().collect()
     }
 
     /// Returns the text of services in force here.
--- a/crates/own/src/node/handover.rs
+++ b/crates/own/src/node/handover.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns the cells of the service, other than `name`, that can take shards.
-    fn receivers(&self, name: &cell::Name, now: Tick) -> Vec<(cell::Name, Version)> {
+    pub(super) fn receivers(&self, name: &cell::Name, now: Tick) -> Vec<(cell::Name, Version)> {
         let view = self.world.view(&name.service, self.resigning, self.read_at);
         let able = |cell: &Cell| {
             let guardian = cell.row.guardian.as_ref();
--- a/crates/own/tests/rules.rs
+++ b/crates/own/tests/rules.rs
@@ -357,7 +357,11 @@
         if !known_before {
             bench.look(1, row);
         }
-        assert_eq!(bench.node.awaited(&name()).is_empty(), ended, "known before: {known_before}");
+        assert_eq!(
+            bench.node.awaited(&name(), bench.now).is_empty(),
+            ended,
+            "known before: {known_before}"
+        );
     }
 }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -141,6 +141,15 @@
     url: String,
 }
 
+/// Arguments that cannot be used.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("an address is missing")]
+    NoAddress,
+    #[error("a header is NAME=VALUE")]
+    NoHeader,
+}
+
 fn main() -> Result<(), Box<dyn Error>> {
     let arguments = Arguments::parse_args_default_or_exit();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -162,7 +171,7 @@
 }
 
 async fn bind(address: Option<SocketAddr>) -> Result<TcpListener, Box<dyn Error>> {
-    let address = address.ok_or("an address is missing")?;
+    let address = address.ok_or(Failure::NoAddress)?;
     Ok(TcpListener::bind(address).await?)
 }
 
@@ -196,7 +205,7 @@
 async fn proxy(arguments: ProxyArguments) -> Result<(), Box<dyn Error>> {
     let listener = bind(arguments.listen).await?;
     let admin = bind(arguments.admin).await?;
-    let to = arguments.to.ok_or("an address is missing")?;
+    let to = arguments.to.ok_or(Failure::NoAddress)?;
     Arc::new(Proxy::default()).serve(listener, to, admin).await;
     Ok(())
 }
@@ -259,7 +268,7 @@
     let client = Client::builder(TokioExecutor::new()).build_http();
     let mut builder = Request::builder().method(arguments.method.as_str()).uri(&arguments.url);
     for header in &arguments.header {
-        let (name, value) = header.split_once('=').ok_or("a header is NAME=VALUE")?;
+        let (name, value) = header.split_once('=').ok_or(Failure::NoHeader)?;
         builder = builder.header(name, value);
     }
     let request = builder.body(Full::new(Bytes::from(arguments.body.clone())))?;
--- a/crates/trial/tests/ownership.rs
+++ b/crates/trial/tests/ownership.rs
@@ -192,8 +192,9 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leaving_target_is_emptied_without_a_refusal() {
-    for source in ["target", "list", "operator"] {
-        let fleet = Fleet::start(Plan::default()).await;
+    // The last target of a zone gives its shards to another zone.
+    for (source, keyed) in [("target", 2), ("list", 2), ("operator", 2), ("operator", 1)] {
+        let fleet = Fleet::start(Plan { keyed, ..Plan::default() }).await;
         let key = fleet.keys()[0].clone();
         let owner = eventually("the key has an owner", || fleet.owner(0, &key)).await;
         let load = Load::start(&fleet, &[0, 1, 2, 3], 2);
