--- a/crates/entry/src/control/state/answers.rs
+++ b/crates/entry/src/control/state/answers.rs
@@ -17,7 +17,7 @@
     platform::vms::{ENTRY_ROLE, State as VmState},
     report::{Kind, Record, burn::Line},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         future::Future,
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -110,6 +110,13 @@
             let mut shards: HashMap<u32, usize> = HashMap::new();
             match &service.route {
                 Route::Keyed(owners) => {
+                    // A target that owns nothing, such as one that was emptied, is shown as well.
+                    let rows = self.node.rows().filter(|(_, row)| row.name.service == conf.name);
+                    let vms: HashSet<Vm> = rows
+                        .flat_map(|(_, row)| row.targets.iter().map(|target| target.vm.clone()))
+                        .collect();
+                    let members = snapshot.targets.iter().filter(|(_, one)| vms.contains(&one.vm));
+                    shards.extend(members.map(|(index, _)| (index.get(), 0)));
                     for owner in owners.iter().flatten() {
                         *shards.entry(owner.target.get()).or_default() += 1;
                     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,7 @@
 /*!
 One entry process: callers on one side, targets on the other, and the control plane beside them.
 
-Traffic runs on a runtime of its own with several threads and reads an immutable [`snapshot`] that
+Traffic runs on a runtime of its own with several threads and reads an immutable routing table that
 the control thread replaces; it never waits for control and takes no lock to find an owner. The
 control thread alone owns the state of ownership. See docs/DESIGN.md.
 */
