--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -35,12 +35,16 @@
     text.strip_suffix(&suffix).unwrap_or(&text).to_owned()
 }
 
-/// Returns where the value at the end of `path` starts.
+/// Returns where the value at the end of `path` starts, or the nearest around it that is there: a
+/// value that was left out has no place of its own.
 pub(crate) fn locate(text: &str, path: &[Step<'_>]) -> Option<Position> {
     let ast = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()).ok()?;
     let mut value = ast.value.as_ref()?;
     for step in path {
-        value = enter(value, *step)?;
+        match enter(value, *step) {
+            Some(inner) => value = inner,
+            None => break,
+        }
     }
     Some(position(text, value.range().start))
 }
