Measure how long a leaving target gets new work; mend what stands twice

And reading as a newcomer: the timing of leases stood in three places, two files each needed the other for one small function, and limits.slots was accepted and did nothing.

--- a/crates/conf/src/services.rs
+++ b/crates/conf/src/services.rs
@@ -112,8 +112,6 @@
     pub concurrency: Bound<1, 100_000>,
     /// The connections that one target accepts from all entries together.
     pub connections: Bound<1, 10_000>,
-    /// The requests a target works on at once.
-    pub slots: Bound<1, 1_000>,
     /// The retries allowed for each hundred requests.
     pub retry_percent: Bound<0, 100>,
 }
@@ -127,7 +125,6 @@
             queue_ms: Bound::clamped(500),
             concurrency: Bound::clamped(1_024),
             connections: Bound::clamped(110),
-            slots: Bound::clamped(2),
             retry_percent: Bound::clamped(20),
         }
     }
--- a/crates/conf/tests/texts.rs
+++ b/crates/conf/tests/texts.rs
@@ -21,10 +21,10 @@
     },
     Case {
         name: "out of range",
-        text: "{ \"services\": [{ \"name\": \"x\",\n\"limits\": { \"slots\": 0 } }] }",
+        text: "{ \"services\": [{ \"name\": \"x\",\n\"limits\": { \"queue_ms\": 0 } }] }",
         line: 2,
-        column: 24,
-        matches: |kind| matches!(kind, ErrorKind::Invalid(detail) if detail.contains("1 to 1000")),
+        column: 27,
+        matches: |kind| matches!(kind, ErrorKind::Invalid(detail) if detail.contains("1 to 600000")),
     },
     Case {
         name: "name that is no path segment",
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -78,15 +78,7 @@
 impl State {
     pub(crate) fn new(me: Process, shared: Arc<Shared>, now: Tick) -> Self {
         let settings = &shared.settings;
-        let lease = &settings.lease;
-        let terms = Terms {
-            ttl: lease.ttl(),
-            renew: lease.renew(),
-            suspect: lease.suspect(),
-            drift: lease.drift(),
-            peer_lost: lease.peer_lost(),
-            drain: lease.drain(),
-        };
+        let terms = Terms::from(&settings.lease);
         let zone = settings.zone.clone();
         let config =
             Config { me: me.clone(), zone: zone.clone(), terms, balance_every: BALANCE_EVERY };
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -15,7 +15,7 @@
     route::{Reason, header},
     std::{
         sync::{Arc, atomic::Ordering},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::time,
 };
@@ -193,8 +193,3 @@
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
-
-/// Returns the time left until `deadline`.
-pub(crate) fn remaining(deadline: Instant) -> Duration {
-    deadline.saturating_duration_since(Instant::now())
-}
--- a/crates/entry/src/traffic/call.rs
+++ b/crates/entry/src/traffic/call.rs
@@ -1,10 +1,7 @@
 //! A request that was taken on.
 
 use {
-    crate::{
-        snapshot::Service,
-        traffic::{attempt, body::Body},
-    },
+    crate::{snapshot::Service, traffic::body::Body},
     http::request::Parts,
     hyper::body::Incoming,
     key::Shard,
@@ -15,6 +12,11 @@
     },
 };
 
+/// Returns the time left until `deadline`.
+pub(crate) fn remaining(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
+}
+
 /// The part of a request body that can still be sent.
 #[derive(Debug)]
 pub(crate) enum Held {
@@ -38,7 +40,7 @@
 impl Call {
     /// Returns the time left until the answer must have begun.
     pub(crate) fn remaining(&self) -> Duration {
-        attempt::remaining(self.deadline)
+        remaining(self.deadline)
     }
 
     /// Returns the body for one attempt, if it can be sent.
--- a/crates/entry/src/traffic/handle.rs
+++ b/crates/entry/src/traffic/handle.rs
@@ -7,7 +7,7 @@
         traffic::{
             attempt::{self, Attempt, Goal},
             body::{Body, Relay},
-            call::{Call, Held},
+            call::{self, Call, Held},
             claim::Claim,
             refuse,
             target::{Connection, Target},
@@ -187,7 +187,7 @@
     let limit = context.shared.settings.traffic.held_body_bytes.get();
     let held = if incoming.size_hint().upper().is_some_and(|size| size <= limit) {
         let body = Limited::new(incoming, limit as usize).collect();
-        let body = time::timeout(attempt::remaining(deadline), body).await;
+        let body = time::timeout(call::remaining(deadline), body).await;
         Held::Whole(body.ok().and_then(Result::ok).ok_or(Reason::BadBody)?.to_bytes())
     } else {
         Held::Upload(incoming)
--- a/crates/own/src/election.rs
+++ b/crates/own/src/election.rs
@@ -3,7 +3,6 @@
 use {
     crate::{cell::Row, decision::Ground, node::View},
     key::{Process, clock::Tick},
-    std::time::Duration,
 };
 
 /// The number of deputies of a cell.
@@ -84,8 +83,3 @@
     }
     former
 }
-
-/// The silence of a process that was never heard, counted from the start of the listener.
-pub(crate) fn silence(heard: Option<Tick>, started: Tick, now: Tick) -> Duration {
-    now.since(heard.unwrap_or(started).max(started))
-}
--- a/crates/own/src/lease.rs
+++ b/crates/own/src/lease.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::cell,
-    conf::services::Fencing,
+    conf::{services::Fencing, settings::Lease},
     key::{Fence, Incarnation, Process, Shard, Stamp},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
@@ -32,6 +32,19 @@
     pub drain: Duration,
 }
 
+impl From<&Lease> for Terms {
+    fn from(lease: &Lease) -> Self {
+        Self {
+            ttl: lease.ttl(),
+            renew: lease.renew(),
+            suspect: lease.suspect(),
+            drift: lease.drift(),
+            peer_lost: lease.peer_lost(),
+            drain: lease.drain(),
+        }
+    }
+}
+
 /// One shard of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
--- a/crates/own/src/node/event.rs
+++ b/crates/own/src/node/event.rs
@@ -90,7 +90,7 @@
     Vouched(Vm),
     /// The targets that operators want to be emptied.
     Drained(BTreeSet<Vm>),
-    /// The weights of the shards of a service.
+    /// The weights of the shards of a service. No entry counts them yet, so all weigh the same.
     Loads {
         /// The service.
         service: Service,
--- a/crates/own/src/node/view.rs
+++ b/crates/own/src/node/view.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         cell::{self, Row},
-        election,
         lease::Terms,
     },
     conf::services::{Fencing, Isolation, Keyed, Text},
@@ -345,7 +344,8 @@
     pub(crate) fn silence(&self, process: &Process, now: Tick) -> Duration {
         let heard = self.world.peers.get(&process.vm);
         let heard = heard.filter(|(peer, _)| peer.process == *process).map(|(_, at)| *at);
-        election::silence(heard, self.started, now)
+        // One that was never heard has been silent since this process began to listen.
+        now.since(heard.unwrap_or(self.started).max(self.started))
     }
 
     /// Returns the silence after which a process counts as lost.
--- a/crates/own/tests/sim/mod.rs
+++ b/crates/own/tests/sim/mod.rs
@@ -5,6 +5,7 @@
     conf::{
         Text,
         services::{Fencing, Isolation},
+        settings::Lease,
     },
     key::{Incarnation, Process, Shard, Version, Vm, Zone, clock::Tick},
     own::{
@@ -34,15 +35,6 @@
 const EXCHANGE_LIMIT: Duration = Duration::from_millis(400);
 const START: Duration = Duration::from_secs(100);
 
-pub const TERMS: Terms = Terms {
-    ttl: Duration::from_millis(1_300),
-    renew: Duration::from_millis(250),
-    suspect: Duration::from_millis(700),
-    drift: Duration::from_millis(20),
-    peer_lost: Duration::from_millis(600),
-    drain: Duration::from_millis(2_000),
-};
-
 /// What varies from run to run.
 #[derive(Clone, Copy, Debug)]
 pub struct Setup {
@@ -313,7 +305,10 @@
         let me = Process { vm: entry.vm.clone(), incarnation };
         let zone = entry.zone.clone();
         let balance_every = Duration::from_secs(1);
-        let mut node = Node::new(Config { me, zone, terms: TERMS, balance_every }, now);
+        let mut node = Node::new(
+            Config { me, zone, terms: Terms::from(&Lease::default()), balance_every },
+            now,
+        );
         node.handle(Event::Services(text), now);
         entry.incarnation = incarnation;
         entry.node = Some(node);
--- a/crates/trial/src/bin/measure/main.rs
+++ b/crates/trial/src/bin/measure/main.rs
@@ -15,7 +15,8 @@
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
-const NAMES: &str = "latency | recovery | recovery-shards | configuration | isolation | slopes";
+const NAMES: &str =
+    "latency | recovery | recovery-shards | configuration | isolation | leaving | slopes";
 
 fn main() -> ExitCode {
     let runtime =
@@ -27,6 +28,7 @@
         Some("recovery-shards") => runtime.block_on(recovery::by_shards()),
         Some("configuration") => runtime.block_on(outage::configuration()),
         Some("isolation") => runtime.block_on(outage::isolation()),
+        Some("leaving") => runtime.block_on(outage::leaving()),
         Some("slopes") => {
             slopes::decisions();
             runtime.block_on(slopes::processes());
--- a/crates/trial/src/bin/measure/outage.rs
+++ b/crates/trial/src/bin/measure/outage.rs
@@ -2,10 +2,13 @@
 
 use {
     crate::stats,
+    key::clock::Tick,
+    platform::vms::State,
     serde_json::json,
+    standin::journal::Kind,
     std::time::{Duration, Instant},
     tokio::time::sleep,
-    trial::{Fleet, KEYED, Plan, eventually},
+    trial::{Fleet, KEYED, Load, Plan, eventually},
 };
 
 const CHANGES: usize = 50;
@@ -39,6 +42,42 @@
     );
 }
 
+/// Prints how long after each kind of notice a target still gets new work.
+pub(crate) async fn leaving() {
+    for source in ["target", "list", "operator"] {
+        for service in [KEYED, "orders"] {
+            let fleet = Fleet::start(Plan { orders: 2, ..Plan::default() }).await;
+            let at = fleet.targets.iter().position(|target| target.service == service);
+            let Some(at) = at else { continue };
+            let vm = fleet.targets[at].vm.clone();
+            let load = Load::start(&fleet, &[0, 1, 2, 3], 4);
+            sleep(Duration::from_secs(1)).await;
+            let notice = Tick::now();
+            match source {
+                "target" => fleet.upset_target(at, json!({ "leaving": true })).await,
+                "list" => fleet.list_target(at, State::Leaving),
+                _ => {
+                    fleet.operate(0, &format!("/drain?vm={vm}&on=true&by=measure")).await;
+                }
+            }
+            sleep(Duration::from_secs(5)).await;
+            let seen = load.finish().await;
+            let lines = fleet.lines();
+            let ran =
+                lines.iter().filter(|line| line.vm == vm && matches!(line.kind, Kind::Ran { .. }));
+            let last = ran.map(|line| line.at).max().unwrap_or_default();
+            let refused = seen.iter().filter(|one| !one.answer.is_served()).count();
+            println!(
+                "{service} leaving on the word of the {source} | last new work {} ms after the notice | \
+                 {refused} of {} requests refused",
+                last.since(notice).as_millis(),
+                seen.len(),
+            );
+            fleet.verify();
+        }
+    }
+}
+
 /// Prints for how long the keys of a cut-off zone are unavailable inside and outside of it.
 pub(crate) async fn isolation() {
     for (name, isolation) in
--- a/crates/trial/src/bin/measure/slopes.rs
+++ b/crates/trial/src/bin/measure/slopes.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{ALLOCATOR, stats},
-    conf::Text,
+    conf::{Text, settings::Lease},
     entry::probe::{Source, row},
     key::{Incarnation, Process, Version, Vm, Zone, clock::Tick},
     own::{
@@ -76,15 +76,6 @@
     stats::show("row of a cell with 1024 shards", "target", "bytes", &by_targets);
 }
 
-const TERMS: Terms = Terms {
-    ttl: Duration::from_millis(1_300),
-    renew: Duration::from_millis(250),
-    suspect: Duration::from_millis(700),
-    drift: Duration::from_millis(20),
-    peer_lost: Duration::from_millis(600),
-    drain: Duration::from_millis(2_000),
-};
-
 fn me(vm: &str) -> Process {
     Process { vm: Vm::from(vm), incarnation: Incarnation::from(1) }
 }
@@ -96,7 +87,12 @@
     );
     let text = Arc::new(Text::parse(&text).expect("the text is valid"));
     let balance_every = Duration::from_secs(1);
-    let config = Config { me: me(vm), zone: Zone::from(zone), terms: TERMS, balance_every };
+    let config = Config {
+        me: me(vm),
+        zone: Zone::from(zone),
+        terms: Terms::from(&Lease::default()),
+        balance_every,
+    };
     let mut node = Node::new(config, now);
     node.handle(Event::Services(text), now);
     node
