Compare ways to choose a target; let tests pass over a port that was taken

Cause: the choice among targets was argued, not measured. The test's own listeners now take the next port; nothing else changes.

Ruled out: a port of a former test (numbers are not used twice in a process) and of a connection (the system gives those from 32768 up).

--- a/crates/trial/src/bin/measure/main.rs
+++ b/crates/trial/src/bin/measure/main.rs
@@ -1,6 +1,7 @@
 //! Measurements, each with the command that repeats it: `measure NAME`. Figures are printed as they
 //! were seen; nothing is judged here.
 
+mod choice;
 mod latency;
 mod outage;
 mod recovery;
@@ -16,7 +17,7 @@
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 const NAMES: &str =
-    "latency | recovery | recovery-shards | configuration | isolation | leaving | slopes";
+    "latency | recovery | recovery-shards | configuration | isolation | leaving | choice | slopes";
 
 fn main() -> ExitCode {
     let runtime =
@@ -28,6 +29,7 @@
         Some("recovery-shards") => runtime.block_on(recovery::by_shards()),
         Some("configuration") => runtime.block_on(outage::configuration()),
         Some("isolation") => runtime.block_on(outage::isolation()),
+        Some("choice") => choice::compare(),
         Some("leaving") => runtime.block_on(outage::leaving()),
         Some("slopes") => {
             slopes::decisions();
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -121,6 +121,16 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
+/// Listens on a port that is free; one that another process took meanwhile is passed over.
+async fn listen() -> (TcpListener, SocketAddr) {
+    loop {
+        let address = local(free_port());
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return (listener, address);
+        }
+    }
+}
+
 impl Fleet {
     /// Starts a fleet and waits until every shard is served.
     ///
@@ -160,8 +170,7 @@
     }
 
     async fn way(&mut self, to: SocketAddr, zone: Option<usize>, name: &str) -> SocketAddr {
-        let address = local(free_port());
-        let listener = TcpListener::bind(address).await.expect("the port is free");
+        let (listener, address) = listen().await;
         let proxy = Arc::new(Proxy::default());
         tokio::spawn(Arc::clone(&proxy).carry_all(listener, to));
         self.ways.push(Way { proxy, zone, name: name.to_owned() });
@@ -169,8 +178,7 @@
     }
 
     async fn start_platform(&mut self) -> SocketAddr {
-        let address = local(free_port());
-        let listener = TcpListener::bind(address).await.expect("the port is free");
+        let (listener, address) = listen().await;
         tokio::spawn(Arc::clone(&self.platform).serve(listener));
         self.way(address, None, "platform").await
     }
