--- a/crates/trial/src/bin/measure/slopes.rs
+++ b/crates/trial/src/bin/measure/slopes.rs
@@ -290,8 +290,12 @@
 
 /// Measures idle fleets of several sizes.
 pub(crate) async fn processes() {
+    if std::env::args().nth(2).as_deref() == Some("changes") {
+        return by_changes().await;
+    }
     by_targets().await;
     by_entries().await;
+    by_changes().await;
 }
 
 struct Idle {
@@ -345,6 +349,53 @@
     stats::show("memory of an entry, idle", "target", "KB", &memory);
 }
 
+/// Bytes between entries and writes to the table against configuration changes a second, and rows
+/// written against targets that join.
+async fn by_changes() {
+    const SPAN_SECONDS: u64 = 10;
+    let fleet = Fleet::start(Plan { zones: 3, entries: 2, keyed: 1, ..Plan::default() }).await;
+    let passed = |fleet: &Fleet| {
+        let names = fleet.entries.iter().map(|entry| entry.vm.to_string());
+        names.map(|name| fleet.proxy(&name).passed()).sum::<u64>() as f64
+    };
+    let (mut bytes, mut rows) = (Vec::new(), Vec::new());
+    let mut base = 1;
+    for rate in [1u64, 4, 16] {
+        let (before, counts) = (passed(&fleet), fleet.platform.counts());
+        let started = Instant::now();
+        for number in 0..rate * SPAN_SECONDS {
+            let text = format!("// change {base}\n{}", fleet.plan.text());
+            base = fleet.put(0, base, &text, "measure").await.unwrap_or(base);
+            let due = Duration::from_secs_f64((number + 1) as f64 / rate as f64);
+            sleep(due.saturating_sub(started.elapsed())).await;
+        }
+        let seconds = started.elapsed().as_secs_f64();
+        bytes.push((rate as f64, (passed(&fleet) - before) / seconds));
+        let written = fleet.platform.counts().rows_written - counts.rows_written;
+        rows.push((rate as f64, written as f64 / seconds));
+    }
+    println!("text of {} bytes, 6 entries in 3 zones", fleet.plan.text().len());
+    stats::show("between entries", "change/s", "bytes/s", &bytes);
+    stats::show("table", "change/s", "rows/s", &rows);
+    joining().await;
+}
+
+/// Rows written while targets join, moves of their shares included.
+async fn joining() {
+    let mut points = Vec::new();
+    for targets in [1usize, 2, 4] {
+        let mut fleet =
+            Fleet::start(Plan { zones: 1, entries: 1, keyed: 4, ..Plan::default() }).await;
+        let before = fleet.platform.counts().rows_written;
+        for _ in 0..targets {
+            fleet.add_target(trial::KEYED, 0).await;
+        }
+        sleep(IDLE).await;
+        points.push((targets as f64, (fleet.platform.counts().rows_written - before) as f64));
+    }
+    stats::show("table, targets that join a cell of 4", "target", "rows", &points);
+}
+
 async fn by_entries() {
     let (mut control, mut bytes, mut reads, mut read_bytes) =
         (Vec::new(), Vec::new(), Vec::new(), Vec::new());
