--- a/crates/almondworks/src/error.rs
+++ b/crates/almondworks/src/error.rs
@@ -24,6 +24,8 @@
     File { file: PathBuf, error: io::Error },
     #[error(transparent)]
     Entry(#[from] EntryError),
+    #[error(transparent)]
+    Edge(#[from] edge::Error),
     #[error("{0}")]
     Wire(#[from] wire::Error),
     #[error("the entry knows no such service, key or version")]
@@ -43,6 +45,7 @@
             | Self::NoConfigCommand
             | Self::Unconfirmed
             | Self::Text { .. }
+            | Self::Edge(edge::Error::Listen { .. })
             | Self::File { .. } => exit::INVALID,
             Self::Conflict(conflict) => match **conflict {
                 Conflict::Version(_) => exit::CONFLICT,
--- a/crates/almondworks/src/main.rs
+++ b/crates/almondworks/src/main.rs
@@ -11,10 +11,10 @@
         arguments::{Arguments, Command, ConfigCommand},
         error::Error,
     },
-    conf::{Settings, Text, settings::LogLevel},
+    conf::{Fleet, Settings, Text, settings::LogLevel},
     gumdrop::Options,
     simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
-    std::{fs, path::Path, process::ExitCode},
+    std::{fs, path::{Path, PathBuf}, process::ExitCode},
 };
 
 /// The exit codes, as docs/OPERATING.md lists them.
@@ -51,11 +51,7 @@
 fn run(command: Command) -> Result<ExitCode, Error> {
     match command {
         Command::Entry(arguments) => {
-            let settings = Settings::read(&arguments.settings)
-                .map_err(|error| Error::Text { file: arguments.settings.clone(), error })?;
-            log_to_stderr(settings.log_level)?;
-            entry::run(settings)?;
-            Ok(ExitCode::SUCCESS)
+            run_entry(arguments.settings)
         }
         Command::Config(arguments) => match arguments.command {
             Some(ConfigCommand::Check(check)) => self::check(&check.file),
@@ -71,6 +67,23 @@
     }
 }
 
+/// Runs an entry by the settings' form: on the users' platform, or with the product's own
+/// conventions.
+fn run_entry(file: PathBuf) -> Result<ExitCode, Error> {
+    let text = fs::read_to_string(&file)
+        .map_err(|error| Error::File { file: file.clone(), error })?;
+    let wrong = |error| Error::Text { file: file.clone(), error };
+    if Fleet::is_meant(&text).map_err(wrong)? {
+        let settings = Fleet::parse(&text).map_err(wrong)?;
+        edge::run(settings, file)?;
+    } else {
+        let settings = Settings::parse(&text).map_err(wrong)?;
+        log_to_stderr(settings.log_level)?;
+        entry::run(settings)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn check(file: &Path) -> Result<ExitCode, Error> {
     let text =
         fs::read_to_string(file).map_err(|error| Error::File { file: file.to_owned(), error })?;
--- /dev/null
+++ b/crates/conf/src/fleet.rs
@@ -0,0 +1,122 @@
+//! The settings of an entry process on the users' platform.
+//!
+//! The platform fills in a template of this form (`deploy/settings.jsonc`) at every start and
+//! whenever something in it changes. Unknown fields are ignored there, since a newer platform may
+//! add some.
+
+use {
+    crate::{Bound, Error, ErrorKind, Time, parse::parse, settings::LogLevel},
+    key::{Vm, Zone},
+    serde::Deserialize,
+    std::{fs, net::SocketAddr, path::Path},
+};
+
+/// The part of the platform's grace that is kept back for the end of the process itself.
+const GRACE_RESERVE: Time = Time::from_millis(600);
+
+/// Everything a process on the platform is told before it starts.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Fleet {
+    /// The name of this VM.
+    pub vm: Vm,
+    /// The availability zone of this VM.
+    pub zone: Zone,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the process takes new connections.
+    pub ready_listen: SocketAddr,
+    /// Where other entries connect.
+    pub peer_listen: SocketAddr,
+    /// Where metrics are read.
+    pub metrics_listen: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The time from a notice to stop until the process is killed.
+    pub grace: Time,
+    /// How long a leaving target may still get work after the store says so.
+    pub leaving: Time,
+    /// The limit on retries that all entries share.
+    pub retries: Retries,
+    /// The longest life of a grant that targets accept.
+    pub hold_limit: Time,
+    /// The life of a grant.
+    #[serde(default = "default_hold")]
+    pub hold: Time,
+    /// The least severe log level that is written.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// The log lines of one kind that may be written in a second.
+    #[serde(default = "default_log_rate")]
+    pub log_lines_per_s: Bound<1, 100_000>,
+}
+
+/// The limit on retries of one service by all entries together.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Retries {
+    /// The share of its requests.
+    pub ratio: f64,
+    /// What is allowed beyond the share.
+    pub extra: f64,
+    /// The time over which both are counted.
+    pub window: Time,
+}
+
+const fn default_hold() -> Time {
+    Time::from_millis(7_500)
+}
+
+const fn default_log_rate() -> Bound<1, 100_000> {
+    Bound::clamped(50)
+}
+
+impl Fleet {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] that tells what is wrong and where.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path)
+            .map_err(|error| Error::new(ErrorKind::Unreadable(error.to_string()), None))?;
+        Self::parse(&text)
+    }
+
+    /// Reads and checks a text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] with the line and the column of the first value that is wrong.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let fleet: Self = parse(text)?;
+        let wrong = |detail: &str| Err(Error::new(ErrorKind::Contradiction(detail.into()), None));
+        if fleet.grace <= GRACE_RESERVE {
+            return wrong("grace: expected more than 600ms");
+        }
+        if !(0.0..=1.0).contains(&fleet.retries.ratio) || fleet.retries.extra < 0.0 {
+            return wrong("retries: expected a ratio from 0 to 1 and an extra of 0 or more");
+        }
+        if fleet.hold.millis() == 0 || fleet.hold > fleet.hold_limit {
+            return wrong("hold: expected more than 0 and at most hold_limit");
+        }
+        Ok(fleet)
+    }
+
+    /// Tells whether a settings text is meant for the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the text is no JSON with comments.
+    pub fn is_meant(text: &str) -> Result<bool, Error> {
+        #[derive(Deserialize)]
+        struct Probe {
+            store: Option<SocketAddr>,
+        }
+        Ok(parse::<Probe>(text)?.store.is_some())
+    }
+
+    /// Returns the time from a notice to stop until the process must have ended by itself.
+    #[must_use]
+    pub fn stop_limit(&self) -> std::time::Duration {
+        self.grace.get().saturating_sub(GRACE_RESERVE.get())
+    }
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,13 +10,19 @@
 
 mod bound;
 mod error;
+pub mod fleet;
 mod parse;
+pub mod routing;
 pub mod services;
 pub mod settings;
+mod time;
 
 pub use crate::{
     bound::Bound,
     error::{Error, ErrorKind, Position},
+    fleet::Fleet,
+    routing::Routing,
     services::Text,
     settings::Settings,
+    time::Time,
 };
--- /dev/null
+++ b/crates/conf/src/time.rs
@@ -0,0 +1,52 @@
+//! Times in texts.
+
+use {
+    serde::{Deserialize, Deserializer, de},
+    smol_str::SmolStr,
+    std::time::Duration,
+};
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// A time that a text gives as a number with its unit, such as `1500ms` or `2.5s`.
+///
+/// ```
+/// let time: conf::Time = serde_json::from_str(r#""2.5s""#)?;
+/// assert_eq!(time.millis(), 2_500);
+/// # Ok::<_, serde_json::Error>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(Duration);
+
+impl Time {
+    /// Returns a time of whole milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Returns the whole milliseconds.
+    #[must_use]
+    pub const fn millis(self) -> u64 {
+        self.0.as_millis() as u64
+    }
+
+    /// Returns the time as a duration.
+    #[must_use]
+    pub const fn get(self) -> Duration {
+        self.0
+    }
+}
+
+impl<'de> Deserialize<'de> for Time {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = SmolStr::deserialize(deserializer)?;
+        let wrong = || de::Error::custom(format_args!("{text:?} is no time in ms or s"));
+        let (number, scale) = match text.strip_suffix("ms") {
+            Some(number) => (number, MILLIS_PER_SECOND),
+            None => (text.strip_suffix('s').ok_or_else(wrong)?, 1.0),
+        };
+        let number: f64 = number.trim().parse().map_err(|_| wrong())?;
+        Duration::try_from_secs_f64(number / scale).map(Self).map_err(|_| wrong())
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/election.rs
@@ -0,0 +1,108 @@
+//! Deciding when to try to lead.
+//!
+//! Leading needs a write under a condition, so two processes never win the same term. What is decided
+//! here is only when to try: late enough that a short silence changes nothing, and not while other
+//! entries hear the leader.
+
+use {
+    key::clock::Tick,
+    std::time::Duration,
+};
+
+/// The silence of the leader after which others ask around.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// The silence after which an entry tries to lead although it reaches few others.
+const ALONE: Duration = Duration::from_secs(4);
+
+/// The wait of an entry for each one that ranks before it.
+const RANK_DELAY: Duration = Duration::from_millis(60);
+
+/// The wait after an attempt, and after a poll that came out against one.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// The wait of a fresh process before it tries to lead where nobody does.
+const START: Duration = Duration::from_millis(150);
+
+/// What to do about the leader's silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// Nothing.
+    Wait,
+    /// Ask the other entries whether they hear the leader.
+    Poll,
+    /// Try to lead.
+    Stand,
+}
+
+/// What is known of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Leader {
+    /// No row names one.
+    Nobody,
+    /// The row names an earlier run of this process.
+    FormerSelf,
+    /// Another process.
+    Other {
+        /// It asked to be replaced.
+        resigning: bool,
+    },
+}
+
+/// When to try.
+#[derive(Clone, Debug)]
+pub(crate) struct Election {
+    heard: Tick,
+    not_before: Tick,
+    polled: bool,
+}
+
+impl Election {
+    pub(crate) const fn new(now: Tick) -> Self {
+        Self { heard: now, not_before: now.plus(START), polled: false }
+    }
+
+    /// Notes that the leader answered, or that a new one is named.
+    pub(crate) const fn hear(&mut self, now: Tick) {
+        self.heard = now;
+        self.polled = false;
+    }
+
+    /// Returns how long the leader has been silent.
+    pub(crate) const fn silence(&self, now: Tick) -> Duration {
+        now.since(self.heard)
+    }
+
+    /// Notes the result of a poll: `silent` other entries answered that they do not hear the leader
+    /// either, out of `entries` in all, and `heard` tells whether any does.
+    pub(crate) fn polled(&mut self, silent: usize, heard: bool, entries: usize, now: Tick) {
+        let many = 2 * (silent + 1) > entries || self.silence(now) >= ALONE;
+        self.polled = many && !heard;
+        if !self.polled {
+            self.not_before = now.plus(PAUSE);
+        }
+    }
+
+    /// Notes an attempt to lead.
+    pub(crate) const fn stood(&mut self, now: Tick) {
+        self.polled = false;
+        self.not_before = now.plus(PAUSE);
+    }
+
+    /// Decides, for an entry before which `rank` others come.
+    pub(crate) fn decide(&self, leader: Leader, rank: usize, now: Tick) -> Verdict {
+        let turn = RANK_DELAY * rank as u32;
+        if now < self.not_before {
+            return Verdict::Wait;
+        }
+        match leader {
+            Leader::FormerSelf => Verdict::Stand,
+            Leader::Nobody if self.silence(now) >= START + turn => Verdict::Stand,
+            Leader::Other { resigning: true } if self.silence(now) >= turn => Verdict::Stand,
+            Leader::Other { .. } if self.silence(now) >= SILENCE + turn => {
+                if self.polled { Verdict::Stand } else { Verdict::Poll }
+            }
+            _ => Verdict::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/input.rs
@@ -0,0 +1,57 @@
+//! What the control thread is told.
+
+use {
+    crate::control::{
+        lead::Lead,
+        peers::{Hello, Reply, Report},
+    },
+    hold::{
+        Life, Span,
+        planner::{Grant, Outcome},
+    },
+    key::{Service, Vm, clock::Tick},
+    platform::{
+        order::Link,
+        store::{Commit, Row, Rows},
+    },
+    smol_str::SmolStr,
+    tokio::sync::oneshot,
+};
+
+/// One message.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// It is time to look at everything.
+    Tick,
+    /// Rows of the operators have changed.
+    Operator(Vec<Row>),
+    /// Entries of the list of targets have changed, or the whole list was read.
+    Targets { rows: Vec<Row>, whole: bool },
+    /// The list of targets could not be read.
+    TargetsSilent,
+    /// The product's own rows have changed, or all of them were read, asked for at some moment.
+    Own { rows: Rows, whole: bool, asked: Tick },
+    /// The product's own rows could not be read.
+    OwnSilent,
+    /// The result of an attempt to lead.
+    Candidacy { lead: Lead, commit: Commit },
+    /// The peers' votes on whether the leader is silent.
+    Polled { silent: usize, heard: bool },
+    /// The row of a service was written, or not.
+    Written { service: Service, commit: Commit },
+    /// Grants were sent.
+    Granted { service: Service, life: Life, results: Vec<(Grant, Outcome)>, link: Option<Link> },
+    /// Keys were taken back, or not.
+    Released {
+        service: Service,
+        life: Life,
+        span: Span,
+        result: Result<Option<SmolStr>, Outcome>,
+    },
+    /// A peer reports to the leader.
+    Report { report: Report, answer: oneshot::Sender<Reply> },
+    /// A peer asks whether this process hears the leader.
+    Hello { answer: oneshot::Sender<Hello> },
+    /// The leader's answer to a report, or none.
+    Replied { leader: Vm, reply: Option<Reply> },
+}
--- /dev/null
+++ b/crates/edge/src/control/lead.rs
@@ -0,0 +1,71 @@
+//! The product's own rows: who leads, and which entries there are.
+
+use {
+    key::{Incarnation, Process, Vm, Zone},
+    serde::{Deserialize, Serialize},
+    smol_str::{SmolStr, format_smolstr},
+    std::net::SocketAddr,
+};
+
+/// The key of the row that names the leader.
+pub(crate) const LEAD_KEY: &str = "lead";
+
+const MAP_PREFIX: &str = "map/";
+const MEMBER_PREFIX: &str = "member/";
+
+/// The row that names the leader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Lead {
+    pub(crate) vm: Vm,
+    pub(crate) incarnation: Incarnation,
+    /// Where peers reach it.
+    pub(crate) address: SocketAddr,
+    /// Grows with each change of the leader.
+    pub(crate) term: u64,
+}
+
+impl Lead {
+    /// Tells whether a process is the one named.
+    pub(crate) fn is(&self, process: &Process) -> bool {
+        self.vm == process.vm && self.incarnation == process.incarnation
+    }
+}
+
+/// The row of one entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: Zone,
+}
+
+/// What a row is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Subject<'a> {
+    Lead,
+    Map(&'a str),
+    Member(&'a str),
+    Other,
+}
+
+impl<'a> Subject<'a> {
+    pub(crate) fn of(key: &'a str) -> Self {
+        if key == LEAD_KEY {
+            return Self::Lead;
+        }
+        if let Some(service) = key.strip_prefix(MAP_PREFIX) {
+            return Self::Map(service);
+        }
+        key.strip_prefix(MEMBER_PREFIX).map_or(Self::Other, Self::Member)
+    }
+}
+
+/// Returns the key of a service's map.
+pub(crate) fn map_key(service: &str) -> SmolStr {
+    format_smolstr!("{MAP_PREFIX}{service}")
+}
+
+/// Returns the key of an entry's row.
+pub(crate) fn member_key(vm: &Vm) -> SmolStr {
+    format_smolstr!("{MEMBER_PREFIX}{vm}")
+}
--- /dev/null
+++ b/crates/edge/src/control/mod.rs
@@ -0,0 +1,71 @@
+//! The control thread: everything that is agreed, known and decided beside single requests.
+
+mod feeds;
+mod election;
+mod input;
+mod lead;
+mod orders;
+mod peers;
+mod state;
+
+use {
+    crate::{Error, shared::Shared},
+    input::Input,
+    key::{Process, clock::Tick},
+    platform::Store,
+    state::State,
+    std::{net::TcpListener, sync::Arc, time::Duration},
+    tokio::{
+        runtime::Builder,
+        sync::mpsc,
+        task::LocalSet,
+        time::{self, MissedTickBehavior},
+    },
+};
+
+/// The messages that may wait for the control thread.
+const QUEUE: usize = 256;
+
+/// The time between two looks at everything.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The time one call of the store may take.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// The time for which the store holds a question back until something has changed.
+const STORE_WAIT: Duration = Duration::from_secs(20);
+
+/// What the control thread is started with.
+pub(crate) struct Seat {
+    pub(crate) me: Process,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) peers: TcpListener,
+}
+
+/// Runs the control thread; it ends only with the process.
+pub(crate) fn run(seat: Seat) -> Result<(), Error> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, control(seat))
+}
+
+async fn control(seat: Seat) -> Result<(), Error> {
+    let (sender, mut inputs) = mpsc::channel(QUEUE);
+    let store = Store::new(seat.shared.settings.store, STORE_TIMEOUT, STORE_WAIT);
+    let listener = tokio::net::TcpListener::from_std(seat.peers)?;
+    tokio::task::spawn_local(peers::serve(listener, sender.clone()));
+    tokio::task::spawn_local(feeds::follow_operator(store.clone(), sender.clone()));
+    tokio::task::spawn_local(feeds::follow_targets(store.clone(), sender.clone()));
+    tokio::task::spawn_local(feeds::follow_own(store.clone(), sender.clone()));
+    let mut state = State::new(seat.me, seat.shared, store, sender);
+    state.join();
+    let mut ticks = time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let input = tokio::select! {
+            input = inputs.recv() => input.unwrap_or(Input::Tick),
+            _ = ticks.tick() => Input::Tick,
+        };
+        state.take(input, Tick::now());
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/orders.rs
@@ -0,0 +1,85 @@
+//! Sending orders to targets.
+
+use {
+    hold::{
+        Life, Span,
+        planner::{Grant, Outcome},
+    },
+    key::Fence,
+    platform::order::{Error, Link},
+    smol_str::SmolStr,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The time one grant may take.
+pub(crate) const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The time a release may take: the target answers when its work on the keys has ended.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Where grants go.
+#[derive(Debug)]
+pub(crate) enum Way {
+    /// Over the connection on which the target was granted keys before.
+    Open(Link),
+    /// Over a new connection.
+    Fresh,
+}
+
+/// Sends grants one after the other, and gives the connection back if it is still good.
+pub(crate) async fn grant(
+    way: Way,
+    life: &Life,
+    address: SocketAddr,
+    hold: Duration,
+    grants: Vec<Grant>,
+) -> (Vec<(Grant, Outcome)>, Option<Link>) {
+    let opened = match way {
+        Way::Open(link) => Ok(link),
+        Way::Fresh => Link::open(life.vm.clone(), address, CONNECT_TIMEOUT).await,
+    };
+    let mut link = opened.ok();
+    let mut results = Vec::with_capacity(grants.len());
+    for grant in grants {
+        let outcome = match &mut link {
+            None => Outcome::Unsent,
+            Some(open) => {
+                let handover = grant.handover.as_deref();
+                let sent = open.grant(grant.span, grant.fence, hold, handover, GRANT_TIMEOUT).await;
+                match sent {
+                    Ok(()) => Outcome::Granted,
+                    Err(Error::Fenced) => Outcome::Fenced,
+                    Err(Error::Refused(_)) => Outcome::Refused,
+                    Err(Error::Unreachable | Error::Misdirected) => {
+                        link = None;
+                        Outcome::Unsent
+                    }
+                    Err(Error::Lost) => {
+                        link = None;
+                        Outcome::Lost
+                    }
+                }
+            }
+        };
+        results.push((grant, outcome));
+    }
+    (results, link)
+}
+
+/// Takes keys back over a connection of its own, since the answer may take long.
+pub(crate) async fn release(
+    life: &Life,
+    address: SocketAddr,
+    span: Span,
+    fence: Fence,
+) -> Result<Option<SmolStr>, Outcome> {
+    let opened = Link::open(life.vm.clone(), address, CONNECT_TIMEOUT).await;
+    let mut link = opened.map_err(|_| Outcome::Unsent)?;
+    match link.release(span, fence, RELEASE_TIMEOUT).await {
+        Ok(handover) => Ok(handover),
+        Err(Error::Unreachable | Error::Misdirected) => Err(Outcome::Unsent),
+        Err(_) => Err(Outcome::Lost),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/peers.rs
@@ -0,0 +1,166 @@
+//! Reports of all entries to the one that leads, and its replies.
+//!
+//! An entry reports what its requests were about and what it knows; the reply brings what is newer.
+//! So an entry that the store turns away goes on with the knowledge of the others. See
+//! docs/PLATFORM.md.
+
+use {
+    crate::control::{feeds::send, input::Input},
+    conf::routing::Routing,
+    futures::future::join_all,
+    hold::{Life, Listing, Map},
+    http::{Method, Request, StatusCode},
+    hyper::body::Incoming,
+    key::{Incarnation, Service, Version, Vm},
+    route::quarantine::Strike,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc::Sender, oneshot},
+    },
+};
+
+/// The time one exchange with a peer may take.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+const REPORT_PATH: &str = "/report";
+const HELLO_PATH: &str = "/hello";
+
+/// The requests for one key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct KeyCount {
+    pub(crate) key: u16,
+    pub(crate) requests: u32,
+}
+
+/// The requests for the keys of one service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct KeyLoad {
+    pub(crate) service: Service,
+    pub(crate) keys: Vec<KeyCount>,
+}
+
+/// How long one target took for its answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Answers {
+    pub(crate) service: Service,
+    pub(crate) life: Life,
+    pub(crate) count: u32,
+    pub(crate) mean_ms: u64,
+}
+
+/// The version of one service's map.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct MapVersion {
+    pub(crate) service: Service,
+    pub(crate) version: Version,
+}
+
+/// What an entry tells the leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Report {
+    pub(crate) vm: Vm,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) routing: Version,
+    pub(crate) maps: Vec<MapVersion>,
+    /// Whether the entry cannot read the list of targets.
+    pub(crate) wants_targets: bool,
+    pub(crate) load: Vec<KeyLoad>,
+    pub(crate) answers: Vec<Answers>,
+    pub(crate) strikes: Vec<Strike>,
+}
+
+/// A map with its version.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct NewMap {
+    pub(crate) service: Service,
+    pub(crate) version: Version,
+    pub(crate) map: Map,
+}
+
+/// One entry of the list of targets with its version.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Listed {
+    pub(crate) listing: Listing,
+    pub(crate) version: Version,
+}
+
+/// What the leader answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Reply {
+    /// Whether the process that answers believes that it leads.
+    pub(crate) leads: bool,
+    /// Whether it cannot reach the store and asks to be replaced.
+    pub(crate) resigning: bool,
+    /// The entries that report, the leader included.
+    pub(crate) entries: usize,
+    pub(crate) routing: Option<Routing>,
+    pub(crate) maps: Vec<NewMap>,
+    pub(crate) targets: Option<Vec<Listed>>,
+    pub(crate) strikes: Vec<Strike>,
+}
+
+/// What an entry says about the leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Hello {
+    /// Whether it heard the leader a moment ago.
+    pub(crate) hears_leader: bool,
+}
+
+/// Answers peers, for ever.
+pub(crate) async fn serve(listener: TcpListener, inputs: Sender<Input>) {
+    wire::serve(listener, move |request| answer(request, inputs.clone())).await;
+}
+
+async fn answer(request: Request<Incoming>, inputs: Sender<Input>) -> wire::Reply {
+    match request.uri().path() {
+        REPORT_PATH if request.method() == Method::POST => {
+            let Ok(report) = wire::read_json::<Report>(request, BODY_LIMIT_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            let (answer, reply) = oneshot::channel();
+            send(&inputs, Input::Report { report, answer }).await;
+            reply_with(reply.await)
+        }
+        HELLO_PATH => {
+            let (answer, reply) = oneshot::channel();
+            send(&inputs, Input::Hello { answer }).await;
+            reply_with(reply.await)
+        }
+        _ => wire::status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn reply_with<T: Serialize>(reply: Result<T, oneshot::error::RecvError>) -> wire::Reply {
+    match reply {
+        Ok(reply) => wire::json(StatusCode::OK, &reply),
+        Err(_) => wire::status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+/// The client side.
+#[derive(Clone, Debug)]
+pub(crate) struct Peers {
+    client: wire::Client,
+}
+
+impl Peers {
+    pub(crate) fn new() -> Self {
+        Self { client: wire::Config::default().timeout(TIMEOUT).build() }
+    }
+
+    /// Reports to the leader.
+    pub(crate) async fn report(&self, to: SocketAddr, report: &Report) -> Option<Reply> {
+        self.client.post(to, REPORT_PATH, report).await.ok()
+    }
+
+    /// Asks entries whether they hear the leader: how many do not, and whether any does.
+    pub(crate) async fn poll(&self, members: Vec<SocketAddr>) -> (usize, bool) {
+        let ask = |to| async move { self.client.get::<Hello>(to, HELLO_PATH).await.ok() };
+        let answers = join_all(members.into_iter().map(ask)).await;
+        let heard = answers.iter().flatten().any(|hello| hello.hears_leader);
+        (answers.iter().flatten().filter(|hello| !hello.hears_leader).count(), heard)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/state.rs
@@ -0,0 +1,385 @@
+//! What one entry knows, and how each message changes it.
+
+mod following;
+mod leading;
+mod publishing;
+
+use {
+    crate::{
+        control::{
+            election::{Election, Leader},
+            feeds::send,
+            input::Input,
+            lead::{LEAD_KEY, Lead, Member, Subject, member_key},
+            peers::{Hello, Peers},
+        },
+        shared::Shared,
+        view::Pool,
+    },
+    conf::routing::Routing,
+    hold::{Map, Registry},
+    key::{Process, Service, Version, Vm, clock::Tick},
+    leading::Leading,
+    platform::{
+        Store,
+        store::{Commit, ROUTING_KEY, Row, Write},
+        text,
+    },
+    route::quarantine::Strike,
+    serde::Serialize,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::sync::mpsc::Sender,
+};
+
+/// The silence of the store after which a process counts as turned away.
+const STORE_SILENCE: Duration = Duration::from_millis(1_600);
+
+/// The time for which strikes are passed on.
+const STRIKE_MEMORY: Duration = Duration::from_secs(3);
+
+/// The silence after which the leader counts as not heard when another entry asks.
+const HEARD: Duration = Duration::from_millis(700);
+
+/// What is logged when a belief changes.
+#[derive(Serialize)]
+struct Believed<'a> {
+    subject: &'a str,
+    version: u64,
+    detail: &'a str,
+}
+
+#[derive(Debug)]
+struct Fresh {
+    strike: Strike,
+    since: Tick,
+}
+
+/// The control thread's state.
+pub(crate) struct State {
+    me: Process,
+    shared: Arc<Shared>,
+    store: Store,
+    inputs: Sender<Input>,
+    peers: Peers,
+    routing: Option<Arc<Routing>>,
+    registry: Registry,
+    listed_since: Option<Tick>,
+    maps: BTreeMap<Service, Arc<Map>>,
+    members: BTreeMap<Vm, Member>,
+    lead: Option<Lead>,
+    lead_version: Version,
+    /// Whether the product's own rows have been read since the start.
+    own_read: bool,
+    election: Election,
+    resigning: bool,
+    standing: bool,
+    leading: Option<Leading>,
+    entries: usize,
+    store_heard: Tick,
+    store_up: bool,
+    reported: Tick,
+    reporting: bool,
+    strikes: VecDeque<Fresh>,
+    pool: Pool,
+    /// Whether the view is older than what is known.
+    dirty: bool,
+}
+
+impl State {
+    pub(crate) fn new(
+        me: Process,
+        shared: Arc<Shared>,
+        store: Store,
+        inputs: Sender<Input>,
+    ) -> Self {
+        let now = Tick::now();
+        Self {
+            me,
+            shared,
+            store,
+            inputs,
+            peers: Peers::new(),
+            routing: None,
+            registry: Registry::default(),
+            listed_since: None,
+            maps: BTreeMap::new(),
+            members: BTreeMap::new(),
+            lead: None,
+            lead_version: Version::ZERO,
+            own_read: false,
+            election: Election::new(now),
+            resigning: false,
+            standing: false,
+            leading: None,
+            entries: 1,
+            store_heard: now,
+            store_up: true,
+            reported: now,
+            reporting: false,
+            strikes: VecDeque::new(),
+            pool: Pool::default(),
+            dirty: false,
+        }
+    }
+
+    /// Writes this entry's row, until the store has it.
+    pub(crate) fn join(&self) {
+        let settings = &self.shared.settings;
+        let member = Member {
+            incarnation: self.me.incarnation,
+            address: settings.peer_listen,
+            zone: settings.zone.clone(),
+        };
+        let key = member_key(&self.me.vm);
+        let store = self.store.clone();
+        tokio::task::spawn_local(async move {
+            following::write_member(&store, key, &member).await;
+        });
+    }
+
+    /// Takes a message.
+    pub(crate) fn take(&mut self, input: Input, now: Tick) {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Operator(rows) => self.take_operator(&rows),
+            Input::Targets { rows, whole } => self.take_targets(rows, whole, now),
+            Input::TargetsSilent => self.registry.note_reading(false, now),
+            Input::Own { rows, whole, asked } => {
+                self.note_store(asked, now);
+                self.take_own(&rows.rows, whole, asked, now);
+            }
+            Input::OwnSilent => {}
+            Input::Candidacy { lead, commit } => self.take_candidacy(lead, commit, now),
+            Input::Polled { silent, heard } => {
+                self.election.polled(silent, heard, self.entries, now);
+            }
+            Input::Written { service, commit } => self.take_written(&service, commit, now),
+            Input::Granted { service, life, results, link } => {
+                self.take_granted(&service, &life, &results, link, now);
+            }
+            Input::Released { service, life, span, result } => {
+                self.take_released(&service, &life, span, result);
+            }
+            Input::Report { report, answer } => {
+                let reply = self.take_report(report, now);
+                // A peer that gave up waiting reports again.
+                if answer.send(reply).is_err() {
+                    self.shared.counters.count("replies", "too late");
+                }
+            }
+            Input::Hello { answer } => {
+                let hears_leader = self.leading.is_some()
+                    || (self.lead.is_some() && self.election.silence(now) < HEARD);
+                if answer.send(Hello { hears_leader }).is_err() {
+                    self.shared.counters.count("replies", "too late");
+                }
+            }
+            Input::Replied { leader, reply } => self.take_reply(&leader, reply, now),
+        }
+        if self.dirty {
+            self.publish(now);
+        }
+    }
+
+    fn tick(&mut self, now: Tick) {
+        self.note_silence(now);
+        self.registry.expire(now);
+        while self.strikes.front().is_some_and(|strike| now.since(strike.since) > STRIKE_MEMORY) {
+            self.strikes.pop_front();
+        }
+        if self.leading.is_some() {
+            self.lead(now);
+        } else {
+            self.follow(now);
+        }
+        self.report(now);
+        self.dirty |= self.has_leaving(now);
+    }
+
+    fn note_store(&mut self, asked: Tick, now: Tick) {
+        self.store_heard = self.store_heard.max(asked);
+        if !self.store_up && now.since(self.store_heard) < STORE_SILENCE {
+            self.store_up = true;
+            self.believe("store", Version::ZERO, "answers again");
+        }
+    }
+
+    fn note_silence(&mut self, now: Tick) {
+        if self.store_up && self.is_turned_away(now) {
+            self.store_up = false;
+            self.believe("store", Version::ZERO, "silent");
+        }
+    }
+
+    /// Tells whether the store has not answered this process for a while.
+    fn is_turned_away(&self, now: Tick) -> bool {
+        self.registry.silence(now) >= STORE_SILENCE
+    }
+
+    fn believe(&self, subject: &str, version: Version, detail: &str) {
+        self.shared
+            .journal
+            .note("belief", &Believed { subject, version: version.get(), detail });
+    }
+
+    fn take_operator(&mut self, rows: &[Row]) {
+        for row in rows.iter().filter(|row| row.key == ROUTING_KEY) {
+            let Some(value) = &row.value else { continue };
+            match text::routing(value) {
+                Ok(routing) => self.adopt_routing(routing, "read from the store"),
+                Err(error) => self.believe("routing", row.version, &error.to_string()),
+            }
+        }
+    }
+
+    fn adopt_routing(&mut self, routing: Routing, source: &str) {
+        let known = self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version);
+        if routing.version <= known {
+            return;
+        }
+        self.believe("routing", routing.version, source);
+        self.shared.counters.set("routing_version", routing.version.get());
+        self.routing = Some(Arc::new(routing));
+        self.dirty = true;
+    }
+
+    fn take_targets(&mut self, rows: Vec<Row>, whole: bool, now: Tick) {
+        self.registry.note_reading(true, now);
+        if whole {
+            let listed = |vm: &Vm| rows.iter().any(|row| row.key == vm.as_str());
+            self.dirty |= self.registry.retain(listed, now);
+        }
+        for row in rows {
+            let vm = Vm::from(row.key.as_str());
+            let Some(value) = &row.value else {
+                if self.registry.remove(&vm, now) {
+                    self.believe_target(&vm, row.version, "gone from the list");
+                    self.dirty = true;
+                }
+                continue;
+            };
+            match text::listing(&row.key, value) {
+                Ok(listing) => {
+                    let state = format!("{:?}", listing.state);
+                    if self.registry.list(listing, row.version, now) {
+                        self.believe_target(&vm, row.version, &state);
+                        self.dirty = true;
+                    }
+                }
+                Err(error) => self.believe_target(&vm, row.version, &error.to_string()),
+            }
+        }
+        if self.listed_since.is_none() && !self.registry.is_empty() {
+            self.listed_since = Some(now);
+        }
+    }
+
+    fn believe_target(&self, vm: &Vm, version: Version, detail: &str) {
+        self.shared.journal.note(
+            "target",
+            &Believed { subject: vm.as_str(), version: version.get(), detail },
+        );
+    }
+
+    fn take_own(&mut self, rows: &[Row], whole: bool, asked: Tick, now: Tick) {
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            match Subject::of(&row.key) {
+                Subject::Lead => self.take_lead(value, row.version, now),
+                Subject::Map(service) => match Map::parse(value, row.version) {
+                    Ok(map) => self.adopt_map(Service::from(service), map),
+                    Err(error) => self.believe(&row.key, row.version, &error.to_string()),
+                },
+                Subject::Member(vm) => match serde_json::from_slice(value) {
+                    Ok(member) => {
+                        self.members.insert(Vm::from(vm), member);
+                    }
+                    Err(error) => self.believe(&row.key, row.version, &error.to_string()),
+                },
+                Subject::Other => {}
+            }
+        }
+        self.own_read |= whole;
+        if whole {
+            self.confirm_lead(asked);
+        }
+    }
+
+    fn take_lead(&mut self, value: &[u8], version: Version, now: Tick) {
+        if version <= self.lead_version {
+            return;
+        }
+        let lead: Lead = match serde_json::from_slice(value) {
+            Ok(lead) => lead,
+            Err(error) => {
+                self.believe(LEAD_KEY, version, &error.to_string());
+                return;
+            }
+        };
+        self.believe(LEAD_KEY, version, lead.vm.as_str());
+        if !lead.is(&self.me) && self.leading.take().is_some() {
+            self.believe(LEAD_KEY, version, "no longer this process");
+        }
+        self.lead = Some(lead);
+        self.lead_version = version;
+        self.resigning = false;
+        self.election.hear(now);
+    }
+
+    fn adopt_map(&mut self, service: Service, map: Map) {
+        let known = self.maps.get(&service).map_or(Version::ZERO, |map| map.version);
+        if map.version <= known {
+            return;
+        }
+        self.believe(service.as_str(), map.version, "holders of keys");
+        self.maps.insert(service, Arc::new(map));
+        self.dirty = true;
+    }
+
+    fn leader(&self) -> Leader {
+        match &self.lead {
+            None => Leader::Nobody,
+            Some(lead) if lead.vm == self.me.vm => Leader::FormerSelf,
+            Some(_) => Leader::Other { resigning: self.resigning },
+        }
+    }
+
+    /// Tries to become the leader.
+    fn stand(&mut self, now: Tick) {
+        self.election.stood(now);
+        self.standing = true;
+        let lead = Lead {
+            vm: self.me.vm.clone(),
+            incarnation: self.me.incarnation,
+            address: self.shared.settings.peer_listen,
+            term: self.lead.as_ref().map_or(0, |lead| lead.term) + 1,
+        };
+        self.believe(LEAD_KEY, self.lead_version, "standing");
+        // A row of plain fields always has a form in JSON.
+        let value = serde_json::to_vec(&lead).unwrap_or_default();
+        let write =
+            Write { key: LEAD_KEY.into(), expected: self.lead_version, value: Some(value) };
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let commit = store.commit(&[write]).await;
+            send(&inputs, Input::Candidacy { lead, commit }).await;
+        });
+    }
+
+    fn take_candidacy(&mut self, lead: Lead, commit: Commit, now: Tick) {
+        self.standing = false;
+        // An attempt without an answer shows in the feed if it took effect; the row then names an
+        // earlier attempt of this process, and it stands again.
+        if let Commit::Committed(version) = commit
+            && version > self.lead_version
+        {
+            self.lead = Some(lead);
+            self.lead_version = version;
+            self.begin_to_lead(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/state/following.rs
@@ -0,0 +1,174 @@
+//! Following a leader: reports, and what to do about its silence.
+
+use {
+    super::State,
+    crate::control::{
+        election::Verdict,
+        feeds::send,
+        input::Input,
+        lead::Member,
+        peers::{Answers, KeyCount, KeyLoad, MapVersion, Reply, Report},
+    },
+    hold::Map,
+    key::{Version, Vm, clock::Tick},
+    platform::{
+        Store,
+        store::{Commit, Table, Write},
+    },
+    smol_str::SmolStr,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// The time between two reports.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+
+/// The pause before the entry's own row is written again.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Writes the row of this entry, until the store has it.
+pub(super) async fn write_member(store: &Store, key: SmolStr, member: &Member) {
+    // A row of plain fields always has a form in JSON.
+    let value = serde_json::to_vec(member).unwrap_or_default();
+    let mut expected = Version::ZERO;
+    loop {
+        let write = Write { key: key.clone(), expected, value: Some(value.clone()) };
+        if let Commit::Committed(_) = store.commit(&[write]).await {
+            return;
+        }
+        time::sleep(PAUSE).await;
+        if let Ok(rows) = store.read(Table::Own).await {
+            let row = rows.rows.iter().find(|row| row.key == key);
+            expected = row.map_or(Version::ZERO, |row| row.version);
+        }
+    }
+}
+
+impl State {
+    pub(super) fn follow(&mut self, now: Tick) {
+        if !self.own_read || self.standing || self.is_turned_away(now) || self.shared.is_stopping()
+        {
+            return;
+        }
+        let rank = self.rank();
+        match self.election.decide(self.leader(), rank, now) {
+            Verdict::Wait => {}
+            Verdict::Stand => self.stand(now),
+            Verdict::Poll => self.poll(now),
+        }
+    }
+
+    /// Returns how many entries come before this one when a leader is needed.
+    fn rank(&self) -> usize {
+        let leader = self.lead.as_ref().map(|lead| &lead.vm);
+        let place = |vm: &Vm| key::rank(vm.as_str(), leader.map_or("", |vm| vm.as_str()));
+        let own = place(&self.me.vm);
+        let others = self.members.keys().filter(|vm| Some(*vm) != leader && **vm != self.me.vm);
+        others.filter(|vm| place(vm) > own).count()
+    }
+
+    fn poll(&mut self, now: Tick) {
+        self.election.stood(now);
+        let leader = self.lead.as_ref().map(|lead| &lead.vm);
+        let members = self
+            .members
+            .iter()
+            .filter(|(vm, _)| Some(*vm) != leader && **vm != self.me.vm)
+            .map(|(_, member)| member.address)
+            .collect();
+        let (peers, inputs) = (self.peers.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let (silent, heard) = peers.poll(members).await;
+            send(&inputs, Input::Polled { silent, heard }).await;
+        });
+    }
+
+    /// Sends a report to the leader if one is due.
+    pub(super) fn report(&mut self, now: Tick) {
+        if self.reporting || now.since(self.reported) < REPORT_EVERY {
+            return;
+        }
+        self.reported = now;
+        let report = self.make_report(now);
+        if self.leading.is_some() {
+            self.take_load(&report, now);
+            return;
+        }
+        let Some(lead) = self.lead.clone().filter(|lead| lead.vm != self.me.vm) else { return };
+        self.reporting = true;
+        let (peers, inputs) = (self.peers.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let reply = peers.report(lead.address, &report).await;
+            send(&inputs, Input::Replied { leader: lead.vm, reply }).await;
+        });
+    }
+
+    fn make_report(&self, now: Tick) -> Report {
+        let (keys, strikes) = {
+            let mut seen = self.shared.seen();
+            (std::mem::take(&mut seen.keys), std::mem::take(&mut seen.strikes))
+        };
+        let mut load = BTreeMap::new();
+        for ((service, key), requests) in keys {
+            let keys: &mut Vec<KeyCount> = load.entry(service).or_default();
+            keys.push(KeyCount { key, requests });
+        }
+        let answers = self.pool.iter().filter_map(|target| {
+            let (count, sum) = target.take_answers();
+            (count > 0).then(|| Answers {
+                service: target.service.clone(),
+                life: target.life.clone(),
+                count,
+                mean_ms: (sum / count).as_millis() as u64,
+            })
+        });
+        let maps = self.maps.iter().map(|(service, map)| MapVersion {
+            service: service.clone(),
+            version: map.version,
+        });
+        Report {
+            vm: self.me.vm.clone(),
+            incarnation: self.me.incarnation,
+            routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
+            maps: maps.collect(),
+            wants_targets: self.is_turned_away(now) || self.registry.is_empty(),
+            load: load.into_iter().map(|(service, keys)| KeyLoad { service, keys }).collect(),
+            answers: answers.collect(),
+            strikes,
+        }
+    }
+
+    pub(super) fn take_reply(&mut self, leader: &Vm, reply: Option<Reply>, now: Tick) {
+        self.reporting = false;
+        let Some(reply) = reply else { return };
+        let is_leader = self.lead.as_ref().is_some_and(|lead| lead.vm == *leader);
+        if reply.leads && is_leader {
+            self.election.hear(now);
+            self.resigning = reply.resigning;
+            if self.entries != reply.entries {
+                self.entries = reply.entries;
+                self.dirty = true;
+            }
+        }
+        for strike in reply.strikes {
+            self.shared.quarantine().strike(strike, Instant::now());
+        }
+        if let Some(routing) = reply.routing {
+            self.adopt_routing(routing, "from the leader");
+        }
+        for new in reply.maps {
+            let map = Map { version: new.version, ..new.map };
+            self.adopt_map(new.service, map);
+        }
+        if let Some(targets) = reply.targets {
+            let listed = |vm: &Vm| targets.iter().any(|listed| listed.listing.vm == *vm);
+            self.dirty |= self.registry.retain(listed, now);
+            for listed in targets {
+                self.dirty |= self.registry.list(listed.listing, listed.version, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/state/leading.rs
@@ -0,0 +1,415 @@
+//! Leading: planning who holds which keys, and keeping the grants alive.
+
+use {
+    super::State,
+    crate::control::{
+        feeds::send,
+        input::Input,
+        lead::{LEAD_KEY, map_key},
+        orders::{self, Way},
+        peers::{Listed, NewMap, Reply, Report},
+    },
+    hold::{
+        Action, Life, Map, Planner, Span,
+        planner::{self, Grant, Outcome, Written},
+    },
+    key::{Fence, Incarnation, Service, Version, Vm, clock::Tick},
+    platform::{
+        order::Link,
+        store::{Commit, Table, Write},
+    },
+    serde::Serialize,
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// The time for which the leader may renew grants after the store last confirmed that it leads. A
+/// successor counts on it.
+const RIGHT: Duration = Duration::from_secs(15);
+
+/// The time between two confirmations.
+const CONFIRM_EVERY: Duration = Duration::from_millis(2_500);
+
+/// The time between two renewals of a grant.
+const RENEW_EVERY: Duration = Duration::from_millis(1_500);
+
+/// The allowance for orders on their way when their connection is given up.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// The time for which targets are gathered before keys are given out for the first time.
+const GATHER: Duration = Duration::from_millis(1_200);
+
+/// The silence after which an entry is no longer counted.
+const ENTRY_SILENCE: Duration = Duration::from_secs(2);
+
+/// What only the leader has.
+pub(super) struct Leading {
+    since: Tick,
+    confirmed: Tick,
+    confirming: Option<Tick>,
+    /// Whether all rows have been read since this process leads.
+    ready: bool,
+    planners: BTreeMap<Service, Planner>,
+    links: HashMap<Life, LinkState>,
+    reports: HashMap<Vm, Reported>,
+}
+
+/// The connection for grants to one run of a target.
+enum LinkState {
+    /// It is being used.
+    Busy,
+    /// It waits for the next grants.
+    Idle(Link),
+    /// It ended while the list showed this version of the target's entry; only a newer entry proves
+    /// that the same run still lives.
+    Lost(Version),
+}
+
+struct Reported {
+    incarnation: Incarnation,
+    at: Tick,
+}
+
+#[derive(Serialize)]
+struct Ordered<'a> {
+    order: &'a str,
+    service: &'a str,
+    target: &'a str,
+    born: u64,
+    first: u16,
+    last: u16,
+    fence: u64,
+    outcome: &'a str,
+}
+
+#[derive(Serialize)]
+struct Planned<'a> {
+    service: &'a str,
+    version: u64,
+    holdings: usize,
+    holders: usize,
+    outcome: &'a str,
+}
+
+impl State {
+    pub(super) fn begin_to_lead(&mut self, now: Tick) {
+        self.believe(LEAD_KEY, self.lead_version, "this process");
+        self.resigning = false;
+        self.leading = Some(Leading {
+            since: now,
+            confirmed: now,
+            confirming: None,
+            ready: false,
+            planners: BTreeMap::new(),
+            links: HashMap::new(),
+            reports: HashMap::new(),
+        });
+        self.read_own(now);
+    }
+
+    /// Notes that a whole reading of the rows, asked for at `asked`, still names this process.
+    pub(super) fn confirm_lead(&mut self, asked: Tick) {
+        let Some(leading) = &mut self.leading else { return };
+        leading.confirming = None;
+        if asked < leading.since {
+            return;
+        }
+        leading.confirmed = leading.confirmed.max(asked);
+        leading.ready = true;
+        for (service, planner) in &mut leading.planners {
+            if let Some(map) = self.maps.get(service) {
+                planner.read(Map::clone(map));
+            }
+        }
+    }
+
+    fn read_own(&mut self, now: Tick) {
+        const PATIENCE: Duration = Duration::from_secs(2);
+        let Some(leading) = &mut self.leading else { return };
+        if leading.confirming.is_some_and(|since| now.since(since) < PATIENCE) {
+            return;
+        }
+        leading.confirming = Some(now);
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let input = match store.read(Table::Own).await {
+                Ok(rows) => Input::Own { rows, whole: true, asked: now },
+                Err(_) => Input::OwnSilent,
+            };
+            send(&inputs, input).await;
+        });
+    }
+
+    /// Does the leader's work.
+    pub(super) fn lead(&mut self, now: Tick) {
+        let Some(leading) = &mut self.leading else { return };
+        let unread = leading.planners.values().any(Planner::wants_reading);
+        let unconfirmed = now.since(leading.confirmed) >= CONFIRM_EVERY;
+        let (ready, has_right) = (leading.ready, now.since(leading.confirmed) < RIGHT);
+        leading.reports.retain(|_, reported| now.since(reported.at) < ENTRY_SILENCE);
+        let entries = leading.reports.len() + 1;
+        if entries != self.entries {
+            self.entries = entries;
+            self.dirty = true;
+        }
+        if unread || unconfirmed || !ready {
+            self.read_own(now);
+        }
+        let gathered = self.listed_since.is_some_and(|since| now.since(since) >= GATHER);
+        if ready && has_right && gathered {
+            self.plan(now);
+        }
+    }
+
+    fn plan(&mut self, now: Tick) {
+        self.make_planners(now);
+        let Some(leading) = &mut self.leading else { return };
+        let registry = &self.registry;
+        let steps: Vec<(Service, Vec<Action>)> = leading
+            .planners
+            .iter_mut()
+            .map(|(service, planner)| (service.clone(), planner.step(registry, now)))
+            .collect();
+        for (service, actions) in steps {
+            for action in actions {
+                self.carry_out(&service, action, now);
+            }
+        }
+    }
+
+    fn make_planners(&mut self, now: Tick) {
+        let Some(routing) = self.routing.clone() else { return };
+        let config = planner::Config {
+            hold: self.shared.settings.hold.get(),
+            renew: RENEW_EVERY,
+            order_timeout: orders::GRANT_TIMEOUT,
+            margin: MARGIN,
+            right: RIGHT,
+        };
+        let Some(leading) = &mut self.leading else { return };
+        for service in routing.services.iter().filter(|service| service.keyed) {
+            leading.planners.entry(service.name.clone()).or_insert_with(|| {
+                let map = self.maps.get(&service.name).map(|map| Map::clone(map));
+                Planner::new(service.name.clone(), config, map, now)
+            });
+        }
+    }
+
+    fn carry_out(&mut self, service: &Service, action: Action, now: Tick) {
+        let service = service.clone();
+        match action {
+            Action::Grant { life, address, grants } => self.grant(service, life, address, grants),
+            Action::Release { life, address, span, fence } => {
+                self.note_order("release", &service, &life, span, fence, "sent");
+                let inputs = self.inputs.clone();
+                tokio::task::spawn_local(async move {
+                    let result = orders::release(&life, address, span, fence).await;
+                    send(&inputs, Input::Released { service, life, span, result }).await;
+                });
+            }
+            Action::Write(map) => self.write(service, &map, now),
+        }
+    }
+
+    fn note_order(
+        &self,
+        order: &str,
+        service: &Service,
+        life: &Life,
+        span: Span,
+        fence: Fence,
+        outcome: &str,
+    ) {
+        self.shared.journal.note(
+            "order",
+            &Ordered {
+                order,
+                service: service.as_str(),
+                target: life.vm.as_str(),
+                born: life.born,
+                first: span.first,
+                last: span.last,
+                fence: fence.get(),
+                outcome,
+            },
+        );
+    }
+
+    fn grant(&mut self, service: Service, life: Life, address: SocketAddr, grants: Vec<Grant>) {
+        let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
+        let Some(leading) = &mut self.leading else { return };
+        let way = match leading.links.insert(life.clone(), LinkState::Busy) {
+            Some(LinkState::Idle(link)) if !link.is_closed() => Some(Way::Open(link)),
+            Some(LinkState::Idle(_)) => {
+                leading.links.insert(life.clone(), LinkState::Lost(version));
+                None
+            }
+            Some(LinkState::Lost(before)) if version <= before => {
+                leading.links.insert(life.clone(), LinkState::Lost(before));
+                None
+            }
+            _ => Some(Way::Fresh),
+        };
+        let Some(way) = way else {
+            let unsent: Vec<_> = grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
+            if let Some(planner) = leading.planners.get_mut(&service) {
+                planner.granted(&life, &unsent, version, Tick::now());
+            }
+            return;
+        };
+        let (hold, inputs) = (self.shared.settings.hold.get(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let (results, link) = orders::grant(way, &life, address, hold, grants).await;
+            send(&inputs, Input::Granted { service, life, results, link }).await;
+        });
+    }
+
+    pub(super) fn take_granted(
+        &mut self,
+        service: &Service,
+        life: &Life,
+        results: &[(Grant, Outcome)],
+        link: Option<Link>,
+        now: Tick,
+    ) {
+        let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
+        for (grant, outcome) in results {
+            if *outcome != Outcome::Granted {
+                let outcome = format!("{outcome:?}");
+                self.note_order("grant", service, life, grant.span, grant.fence, &outcome);
+            }
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let state = link.map_or(LinkState::Lost(version), LinkState::Idle);
+        leading.links.insert(life.clone(), state);
+        let Some(planner) = leading.planners.get_mut(service) else { return };
+        if planner.granted(life, results, version, now) {
+            self.read_own(now);
+        }
+    }
+
+    pub(super) fn take_released(
+        &mut self,
+        service: &Service,
+        life: &Life,
+        span: Span,
+        result: Result<Option<SmolStr>, Outcome>,
+    ) {
+        let outcome = format!("{:?}", result.as_ref().map(Option::is_some));
+        self.note_order("release", service, life, span, Fence::ZERO, &outcome);
+        let Some(leading) = &mut self.leading else { return };
+        if let Some(planner) = leading.planners.get_mut(service) {
+            planner.released(life, span, result);
+        }
+    }
+
+    fn write(&self, service: Service, map: &Map, _now: Tick) {
+        let writes = [
+            Write { key: LEAD_KEY.into(), expected: self.lead_version, value: None },
+            Write {
+                key: map_key(service.as_str()),
+                expected: map.version,
+                value: Some(map.to_bytes()),
+            },
+        ];
+        self.note_plan(&service, map, "writing");
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let commit = store.commit(&writes).await;
+            send(&inputs, Input::Written { service, commit }).await;
+        });
+    }
+
+    fn note_plan(&self, service: &Service, map: &Map, outcome: &str) {
+        self.shared.journal.note(
+            "plan",
+            &Planned {
+                service: service.as_str(),
+                version: map.version.get(),
+                holdings: map.holdings.len(),
+                holders: map.holders.len(),
+                outcome,
+            },
+        );
+    }
+
+    pub(super) fn take_written(&mut self, service: &Service, commit: Commit, now: Tick) {
+        let Some(leading) = &mut self.leading else { return };
+        let Some(planner) = leading.planners.get_mut(service) else { return };
+        planner.written(match commit {
+            Commit::Committed(version) => Written::Done(version),
+            Commit::Refused => Written::Refused,
+            Commit::Conflict | Commit::Ambiguous => Written::Unknown,
+        });
+        let map = planner.map().clone();
+        self.note_plan(service, &map, &format!("{commit:?}"));
+        if let Commit::Committed(_) = commit {
+            self.adopt_map(service.clone(), map);
+            // New holders get their grants at once.
+            self.plan(now);
+        } else {
+            self.read_own(now);
+        }
+    }
+
+    pub(super) fn take_load(&mut self, report: &Report, now: Tick) {
+        for strike in &report.strikes {
+            self.shared.quarantine().strike(*strike, Instant::now());
+            self.strikes.push_back(super::Fresh { strike: *strike, since: now });
+        }
+        let Some(leading) = &mut self.leading else { return };
+        for load in &report.load {
+            let Some(planner) = leading.planners.get_mut(&load.service) else { continue };
+            for count in &load.keys {
+                planner.load().add(count.key, count.requests);
+            }
+        }
+        for answers in &report.answers {
+            if let Some(planner) = leading.planners.get_mut(&answers.service) {
+                let seconds = answers.mean_ms as f64 / 1_000.0;
+                planner.load().observe(&answers.life, seconds);
+            }
+        }
+    }
+
+    pub(super) fn take_report(&mut self, report: Report, now: Tick) -> Reply {
+        self.take_load(&report, now);
+        let resigning = self.is_turned_away(now);
+        let leads = self.leading.is_some();
+        if let Some(leading) = &mut self.leading {
+            let reported = Reported { incarnation: report.incarnation, at: now };
+            leading.reports.insert(report.vm.clone(), reported);
+        }
+        let routing =
+            self.routing.as_deref().filter(|routing| routing.version > report.routing).cloned();
+        let known = |service: &Service| {
+            let known = report.maps.iter().find(|known| known.service == *service);
+            known.map_or(Version::ZERO, |known| known.version)
+        };
+        let maps = self.maps.iter().filter(|(service, map)| map.version > known(service));
+        let maps = maps.map(|(service, map)| NewMap {
+            service: service.clone(),
+            version: map.version,
+            map: Map::clone(map),
+        });
+        let targets = (report.wants_targets && !resigning).then(|| {
+            let listed = self.registry.all().filter(|known| known.is_listed());
+            listed
+                .map(|known| Listed { listing: known.listing.clone(), version: known.version })
+                .collect()
+        });
+        Reply {
+            leads,
+            resigning,
+            entries: self.entries,
+            routing,
+            maps: maps.collect(),
+            targets,
+            strikes: self.strikes.iter().map(|fresh| fresh.strike).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/state/publishing.rs
@@ -0,0 +1,78 @@
+//! Making the view that traffic reads.
+
+use {
+    super::State,
+    crate::{
+        traffic::target::Target,
+        view::{Holders, View},
+    },
+    hold::{
+        Listing, Map,
+        list::{Known, Presence},
+        map::Holder,
+    },
+    key::clock::Tick,
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
+
+/// The part of the bound for leaving targets that is kept back: the list is read with some delay,
+/// and a request takes a moment to arrive.
+const LEAVING_RESERVE: Duration = Duration::from_millis(1_150);
+
+impl State {
+    /// Replaces the view with what is known now.
+    pub(super) fn publish(&mut self, now: Tick) {
+        self.dirty = false;
+        let mut view = View { entries: self.entries, ..View::default() };
+        let mut ready: HashMap<_, Vec<Arc<Target>>> = HashMap::new();
+        for known in self.registry.all() {
+            if self.registry.presence(known, now) == Presence::Ready {
+                let target =
+                    self.pool.get(&known.listing.life(), || Target::new(&known.listing));
+                ready.entry(known.listing.service.clone()).or_default().push(target);
+            }
+        }
+        view.ready = ready;
+        for (service, map) in self.maps.clone() {
+            let usable = |holder: &Holder| {
+                let known = self.registry.get(&holder.life.vm)?;
+                let same = known.listing.life() == holder.life;
+                (same && self.may_serve(known, now)).then(|| known.listing.clone())
+            };
+            let listings: Vec<Option<Listing>> = map.holders.iter().map(usable).collect();
+            let target = |listing: Option<Listing>| {
+                let listing = listing?;
+                Some(self.pool.get(&listing.life(), || Target::new(&listing)))
+            };
+            let targets = listings.into_iter().map(target).collect();
+            view.holders.insert(service, Holders { map, targets });
+        }
+        view.routing.clone_from(&self.routing);
+        self.shared.publish(view);
+        self.pool.retain_used();
+    }
+
+    /// Tells whether a holder of keys may still get requests: one that is leaving may for a moment,
+    /// while its keys are moved.
+    fn may_serve(&self, known: &Known, now: Tick) -> bool {
+        match self.registry.presence(known, now) {
+            Presence::Ready => true,
+            Presence::Leaving(since) => {
+                let limit = self.shared.settings.leaving.get();
+                now.since(since) < limit.saturating_sub(LEAVING_RESERVE)
+            }
+        }
+    }
+
+    /// Tells whether a holder of keys is leaving, so that the view changes with time.
+    pub(super) fn has_leaving(&self, now: Tick) -> bool {
+        let leaving = |map: &Arc<Map>| {
+            map.holders.iter().any(|holder| {
+                self.registry.get(&holder.life.vm).is_some_and(|known| {
+                    self.registry.presence(known, now) != Presence::Ready
+                })
+            })
+        };
+        self.maps.values().any(leaving)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,102 @@
+//! Counters and latency histograms, as text for the metrics address.
+
+use {
+    crate::shared::lock,
+    std::{
+        collections::BTreeMap,
+        fmt::Write,
+        sync::{
+            Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// The upper bounds of the histogram's buckets, in milliseconds.
+const BOUNDS_MS: [u64; 10] = [10, 25, 50, 100, 200, 300, 400, 600, 1_000, 2_000];
+
+/// One histogram of latencies.
+#[derive(Debug, Default)]
+struct Histogram {
+    buckets: [AtomicU64; BOUNDS_MS.len() + 1],
+    sum_ms: AtomicU64,
+}
+
+impl Histogram {
+    fn record(&self, latency: Duration) {
+        let millis = latency.as_millis() as u64;
+        let at = BOUNDS_MS.partition_point(|bound| *bound < millis);
+        self.buckets[at].fetch_add(1, Ordering::Relaxed);
+        self.sum_ms.fetch_add(millis, Ordering::Relaxed);
+    }
+}
+
+/// The counters of one process. Names and units are in docs/METRICS.md.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    counts: Mutex<BTreeMap<(&'static str, String), u64>>,
+    latencies: Mutex<BTreeMap<String, Histogram>>,
+}
+
+impl Counters {
+    /// Counts one event under a name and a label.
+    pub(crate) fn count(&self, name: &'static str, label: &str) {
+        *lock(&self.counts).entry((name, label.to_owned())).or_default() += 1;
+    }
+
+    /// Sets a value.
+    pub(crate) fn set(&self, name: &'static str, value: u64) {
+        lock(&self.counts).insert((name, String::new()), value);
+    }
+
+    /// Records how long a request of a service took.
+    pub(crate) fn record(&self, service: &str, latency: Duration) {
+        let mut latencies = lock(&self.latencies);
+        if let Some(histogram) = latencies.get(service) {
+            histogram.record(latency);
+            return;
+        }
+        latencies.entry(service.to_owned()).or_default().record(latency);
+    }
+
+    /// Returns everything in the text format of Prometheus.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        for ((name, label), value) in &*lock(&self.counts) {
+            let labels =
+                if label.is_empty() { String::new() } else { format!("{{of=\"{label}\"}}") };
+            put(&mut text, format_args!("almondworks_{name}{labels} {value}\n"));
+        }
+        for (service, histogram) in &*lock(&self.latencies) {
+            let mut total = 0;
+            for (at, bucket) in histogram.buckets.iter().enumerate() {
+                total += bucket.load(Ordering::Relaxed);
+                let bound =
+                    BOUNDS_MS.get(at).map_or_else(|| "+Inf".to_owned(), ToString::to_string);
+                put(
+                    &mut text,
+                    format_args!(
+                        "almondworks_latency_ms_bucket{{service=\"{service}\",le=\"{bound}\"}} {total}\n"
+                    ),
+                );
+            }
+            let sum = histogram.sum_ms.load(Ordering::Relaxed);
+            put(
+                &mut text,
+                format_args!(
+                    "almondworks_latency_ms_sum{{service=\"{service}\"}} {sum}\n\
+                     almondworks_latency_ms_count{{service=\"{service}\"}} {total}\n"
+                ),
+            );
+        }
+        text
+    }
+}
+
+/// Appends text; writing to a string cannot fail.
+fn put(text: &mut String, arguments: std::fmt::Arguments<'_>) {
+    if text.write_fmt(arguments).is_err() {
+        text.push('\n');
+    }
+}
--- /dev/null
+++ b/crates/edge/src/shared.rs
@@ -0,0 +1,86 @@
+//! What traffic and control share.
+
+use {
+    crate::{metrics::Counters, view::View},
+    arc_swap::ArcSwap,
+    conf::Fleet,
+    key::Service,
+    report::Journal,
+    route::{Quarantine, budget::Window, quarantine::Strike},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
+    tokio::sync::watch,
+};
+
+/// What traffic has seen since control last asked.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    /// The requests for each key.
+    pub(crate) keys: HashMap<(Service, u16), u32>,
+    /// Requests that were in flight when a target died.
+    pub(crate) strikes: Vec<Strike>,
+}
+
+/// The state that both planes reach.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Fleet,
+    pub(crate) view: ArcSwap<View>,
+    /// Counts the views, and wakes the requests that wait for a newer one.
+    pub(crate) changed: watch::Sender<u64>,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) journal: Journal,
+    pub(crate) counters: Counters,
+    seen: Mutex<Seen>,
+    quarantine: Mutex<Quarantine>,
+    budgets: Mutex<HashMap<Service, Window>>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Fleet, journal: Journal) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            view: ArcSwap::default(),
+            changed: watch::Sender::new(0),
+            stopping: AtomicBool::new(false),
+            journal,
+            counters: Counters::default(),
+            seen: Mutex::default(),
+            quarantine: Mutex::default(),
+            budgets: Mutex::default(),
+        })
+    }
+
+    /// Replaces the view and wakes the requests that wait for it.
+    pub(crate) fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn seen(&self) -> MutexGuard<'_, Seen> {
+        lock(&self.seen)
+    }
+
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        lock(&self.quarantine)
+    }
+
+    /// Returns the retry budgets of all services.
+    pub(crate) fn budgets(&self) -> MutexGuard<'_, HashMap<Service, Window>> {
+        lock(&self.budgets)
+    }
+}
+
+/// Locks a mutex whose data stays whole even if a holder panicked.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/edge/src/traffic/body.rs
@@ -0,0 +1,62 @@
+//! Bodies on their way through.
+
+use {
+    crate::traffic::target::Connection,
+    bytes::Bytes,
+    hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint},
+    std::{
+        pin::Pin,
+        task::{Context, Poll},
+    },
+};
+
+/// A body of either direction.
+#[derive(Debug)]
+pub(crate) enum Body {
+    /// One piece, which can be sent again.
+    Whole(Bytes),
+    /// A target's body, passed on as it comes. A break shows to the caller as a broken connection.
+    Relay(Incoming, Option<Box<Connection>>),
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Relay(incoming, connection) => {
+                let polled = Pin::new(incoming).poll_frame(context);
+                match &polled {
+                    Poll::Ready(None) => {
+                        if let Some(connection) = connection.take() {
+                            connection.release();
+                        }
+                    }
+                    Poll::Ready(Some(Err(_))) => *connection = None,
+                    _ => {}
+                }
+                polled
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_empty(),
+            Self::Relay(incoming, _) => incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Relay(incoming, _) => incoming.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/mod.rs
@@ -0,0 +1,9 @@
+//! The data path.
+
+pub(crate) mod attempt;
+pub(crate) mod body;
+pub(crate) mod choose;
+pub(crate) mod handle;
+pub(crate) mod refuse;
+pub(crate) mod server;
+pub(crate) mod target;
--- /dev/null
+++ b/crates/edge/src/traffic/refuse.rs
@@ -0,0 +1,54 @@
+//! Refusals as answers.
+
+use {
+    crate::traffic::body::Body,
+    http::{HeaderValue, Response, StatusCode, header},
+    route::{Outcome, Reason, Refusal},
+    serde::Serialize,
+    std::time::Duration,
+};
+
+/// The wait that is proposed where a target is expected to be back or free soon.
+const SOON: Duration = Duration::from_millis(150);
+
+/// The wait that is proposed where keys are being moved.
+const MOVING: Duration = Duration::from_millis(250);
+
+#[derive(Serialize)]
+struct Explanation<'a> {
+    outcome: Outcome,
+    reason: Reason,
+    vm: &'a str,
+}
+
+/// Returns the status of a refusal. The statuses that promise that a request has not run are given
+/// with proof only.
+fn status(refusal: Refusal) -> StatusCode {
+    let Refusal { outcome, reason } = refusal;
+    match (outcome, reason) {
+        (Outcome::Unknown, Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
+        (Outcome::Unknown, _) => StatusCode::BAD_GATEWAY,
+        (Outcome::NotRun, Reason::UnknownService) => StatusCode::NOT_FOUND,
+        (Outcome::NotRun, Reason::NoKey | Reason::BadHeader | Reason::BadBody) => {
+            StatusCode::BAD_REQUEST
+        }
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Returns the answer to a request that is refused, with the time that its caller has left.
+pub(crate) fn response(refusal: Refusal, remaining: Duration, vm: &str) -> Response<Body> {
+    let Refusal { outcome, reason } = refusal;
+    let body = serde_json::to_vec(&Explanation { outcome, reason, vm }).unwrap_or_default();
+    let mut response = Response::new(Body::Whole(body.into()));
+    *response.status_mut() = status(refusal);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        let wait = if reason == Reason::NoOwner { MOVING } else { SOON }.min(remaining / 3);
+        if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())) {
+            response.headers_mut().insert(header::RETRY_AFTER, wait);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/edge/src/view.rs
@@ -0,0 +1,74 @@
+//! What traffic knows: immutable, and replaced as a whole.
+
+use {
+    crate::traffic::target::Target,
+    conf::routing::Routing,
+    hold::{Life, Map},
+    key::{Service, Version},
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// The holders of a keyed service's keys.
+#[derive(Debug)]
+pub(crate) struct Holders {
+    pub(crate) map: Arc<Map>,
+    /// The targets of the map's holders, in their order; nothing where a target must get no request.
+    pub(crate) targets: Vec<Option<Arc<Target>>>,
+}
+
+/// Everything that traffic needs to route a request.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) routing: Option<Arc<Routing>>,
+    /// The targets of each service that may get new work.
+    pub(crate) ready: HashMap<Service, Vec<Arc<Target>>>,
+    pub(crate) holders: HashMap<Service, Holders>,
+    /// The entries that share limits, this one included.
+    pub(crate) entries: usize,
+}
+
+impl View {
+    /// Returns the version of the routing text in force.
+    pub(crate) fn version(&self) -> Version {
+        self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version)
+    }
+
+    /// Returns the version of a service's map.
+    pub(crate) fn map_version(&self, service: &Service) -> Version {
+        self.holders.get(service).map_or(Version::ZERO, |holders| holders.map.version)
+    }
+
+    /// Returns the target that holds a key.
+    pub(crate) fn holder(&self, service: &Service, key: u16) -> Option<Arc<Target>> {
+        let holders = self.holders.get(service)?;
+        let index = holders.map.holding(key)?.holder?;
+        holders.targets.get(usize::from(index)).cloned().flatten()
+    }
+
+    /// Tells whether requests can be routed.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.routing.is_some() && !self.ready.is_empty()
+    }
+}
+
+/// The targets that outlive one view, with their connections.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    targets: HashMap<Life, Arc<Target>>,
+}
+
+impl Pool {
+    /// Returns the target of a run, and makes it if it is new.
+    pub(crate) fn get(&mut self, life: &Life, make: impl FnOnce() -> Target) -> Arc<Target> {
+        Arc::clone(self.targets.entry(life.clone()).or_insert_with(|| Arc::new(make())))
+    }
+
+    /// Drops every target that no view uses.
+    pub(crate) fn retain_used(&mut self) {
+        self.targets.retain(|_, target| Arc::strong_count(target) > 1);
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.values()
+    }
+}
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -10,7 +10,7 @@
     conf::{Text, services},
     http::StatusCode,
     key::{Version, Vm},
-    platform::{
+    store::{
         Client, Commit,
         table::{Condition, Row, Transaction, Write},
     },
--- a/crates/entry/src/control/input.rs
+++ b/crates/entry/src/control/input.rs
@@ -7,7 +7,7 @@
     },
     own::{Event, stop},
     peer::{Refused, State, Versioned, Welcome},
-    platform::{table::Row, vms::List},
+    store::{table::Row, vms::List},
     report::{Record, burn::Line},
     route::quarantine::Strike,
     tokio::sync::{mpsc, oneshot},
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -154,7 +154,7 @@
 /// The ways out of the control thread.
 pub(crate) struct Outside {
     inputs: Inputs,
-    platform: platform::Client,
+    platform: store::Client,
     targets: wire::Client,
     links: Rc<RefCell<Links>>,
     shared: Arc<Shared>,
--- a/crates/entry/src/control/routing.rs
+++ b/crates/entry/src/control/routing.rs
@@ -15,7 +15,7 @@
         arena::{Arena, Index},
     },
     own::Node,
-    platform::vms::{Listed, State},
+    store::vms::{Listed, State},
     std::{
         collections::{BTreeSet, HashMap},
         net::SocketAddr,
--- a/crates/entry/src/control/shipper.rs
+++ b/crates/entry/src/control/shipper.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::input::{Input, Inputs},
     key::Process,
-    platform::Client,
+    store::Client,
     std::time::Duration,
     tokio::{sync::oneshot, time},
 };
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -17,7 +17,7 @@
     log::{info, warn},
     own::{Action, Config, Event, Node, Row, lease::Terms},
     peer::{Versioned, Welcome},
-    platform::{
+    store::{
         table,
         vms::{ENTRY_ROLE, List, Listed, State as VmState},
     },
--- a/crates/entry/src/control/state/answers.rs
+++ b/crates/entry/src/control/state/answers.rs
@@ -14,7 +14,7 @@
     },
     http::StatusCode,
     key::{Process, Version, Vm, clock::Tick},
-    platform::vms::{ENTRY_ROLE, State as VmState},
+    store::vms::{ENTRY_ROLE, State as VmState},
     report::{Kind, Record, burn::Line},
     std::{
         collections::{HashMap, HashSet},
--- a/crates/entry/src/control/table.rs
+++ b/crates/entry/src/control/table.rs
@@ -5,7 +5,7 @@
     conf::{Settings, settings::Control},
     key::clock::Tick,
     own::{Event, Write},
-    platform::{Client, Config},
+    store::{Client, Config},
     std::time::Duration,
     tokio::time,
 };
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -99,7 +99,7 @@
     Context {
         shared: Arc::clone(shared),
         me,
-        platform: platform::Config::new(shared.settings.platform)
+        platform: store::Config::new(shared.settings.platform)
             .timeout(timeout)
             .source(shared.settings.source)
             .build(),
--- a/crates/entry/src/traffic/claim.rs
+++ b/crates/entry/src/traffic/claim.rs
@@ -6,7 +6,7 @@
 
 use {
     key::{Process, Version},
-    platform::{
+    store::{
         Client, Commit,
         table::{Condition, Row, Transaction, Write},
     },
--- a/crates/entry/src/traffic/handle.rs
+++ b/crates/entry/src/traffic/handle.rs
@@ -50,7 +50,7 @@
 pub(crate) struct Context {
     pub(crate) shared: Arc<Shared>,
     pub(crate) me: Process,
-    pub(crate) platform: platform::Client,
+    pub(crate) platform: store::Client,
     pub(crate) probe: wire::Client,
 }
 
--- /dev/null
+++ b/crates/hold/src/list.rs
@@ -0,0 +1,211 @@
+//! The list of targets, as this process last read it.
+//!
+//! An entry can vanish from the list for two reasons that call for opposite answers: the target left
+//! or was lost, or the store was away and let entries lapse that it had no sign of life for. The
+//! registry excuses a missing entry for a short time after an outage that this process saw.
+
+use {
+    crate::map::Life,
+    key::{Service, Version, Vm, Zone, clock::Tick},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// The time after an outage within which targets are listed again.
+const RETURN: Duration = Duration::from_millis(2_200);
+
+/// The time for which a target that was lost is remembered.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// What a target says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It takes requests.
+    Ready,
+    /// It will stop soon and takes no new work.
+    Leaving,
+}
+
+/// One entry of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The name.
+    pub vm: Vm,
+    /// The start of its process, in milliseconds of its own clock; tells two runs apart.
+    pub born: u64,
+    /// The service it runs.
+    pub service: Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The requests it works on at once.
+    pub slots: u32,
+    /// What it says of itself.
+    pub state: State,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+impl Listing {
+    /// Returns the run of the target.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life { vm: self.vm.clone(), born: self.born }
+    }
+}
+
+/// Whether a target can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is listed as ready, or is missing after an outage that excuses it.
+    Ready,
+    /// It says that it is leaving, or has vanished from the list; it was noticed then.
+    Leaving(Tick),
+}
+
+/// A target with what the registry knows of it.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// Its newest entry.
+    pub listing: Listing,
+    /// The store's version of that entry.
+    pub version: Version,
+    /// When that entry was read.
+    pub seen: Tick,
+    left: Option<Tick>,
+    missing: Option<Tick>,
+}
+
+impl Known {
+    /// Tells whether the list showed the target when it was last read.
+    #[must_use]
+    pub const fn is_listed(&self) -> bool {
+        self.missing.is_none()
+    }
+}
+
+/// The list.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    targets: BTreeMap<Vm, Known>,
+    silent_since: Option<Tick>,
+    back_since: Option<Tick>,
+}
+
+impl Registry {
+    /// Takes an entry, and tells whether anything but a sign of life is new.
+    pub fn list(&mut self, listing: Listing, version: Version, now: Tick) -> bool {
+        let before = self.targets.get(&listing.vm);
+        if before.is_some_and(|known| known.version >= version) {
+            return false;
+        }
+        let is_new = before.is_none_or(|known| {
+            known.missing.is_some()
+                || known.listing.life() != listing.life()
+                || known.listing.state != listing.state
+                || known.listing.address != listing.address
+        });
+        let since = before.and_then(|known| known.left);
+        let left = (listing.state == State::Leaving).then_some(since.unwrap_or(now));
+        let known = Known { version, seen: now, left, missing: None, listing };
+        self.targets.insert(known.listing.vm.clone(), known);
+        is_new
+    }
+
+    /// Notes that an entry was removed, and tells whether that is new.
+    pub fn remove(&mut self, vm: &Vm, now: Tick) -> bool {
+        match self.targets.get_mut(vm) {
+            Some(known) if known.missing.is_none() => {
+                known.missing = Some(now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Removes every target that a whole reading of the list does not show.
+    pub fn retain(&mut self, listed: impl Fn(&Vm) -> bool, now: Tick) -> bool {
+        let gone: Vec<Vm> = self.targets.keys().filter(|vm| !listed(vm)).cloned().collect();
+        gone.iter().fold(false, |changed, vm| self.remove(vm, now) || changed)
+    }
+
+    /// Notes whether the list could be read.
+    pub fn note_reading(&mut self, answered: bool, now: Tick) {
+        match (answered, self.silent_since) {
+            (false, None) => self.silent_since = Some(now),
+            (true, Some(_)) => {
+                self.silent_since = None;
+                self.back_since = Some(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns for how long the list could not be read.
+    #[must_use]
+    pub fn silence(&self, now: Tick) -> Duration {
+        self.silent_since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Forgets targets that were lost long ago.
+    pub fn expire(&mut self, now: Tick) {
+        self.targets.retain(|_, known| {
+            known.missing.is_none_or(|missing| now.since(missing) < MEMORY)
+        });
+    }
+
+    /// Returns the targets of a service that are listed or were a short while ago.
+    pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Known> {
+        self.targets.values().filter(move |known| known.listing.service == *service)
+    }
+
+    /// Returns every target.
+    pub fn all(&self) -> impl Iterator<Item = &Known> {
+        self.targets.values()
+    }
+
+    /// Returns a target by name.
+    #[must_use]
+    pub fn get(&self, vm: &Vm) -> Option<&Known> {
+        self.targets.get(vm)
+    }
+
+    /// Returns how many targets are listed.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.targets.values().filter(|known| known.missing.is_none()).count()
+    }
+
+    /// Tells whether no target is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Tells whether a target can be used.
+    #[must_use]
+    pub fn presence(&self, known: &Known, now: Tick) -> Presence {
+        let missing = known.missing.filter(|_| !self.is_excused(now));
+        known.left.or(missing).map_or(Presence::Ready, Presence::Leaving)
+    }
+
+    /// Tells whether a run of a target is proved to have ended: the name or the address belongs to
+    /// a later one.
+    #[must_use]
+    pub fn has_ended(&self, life: &Life, address: SocketAddr) -> bool {
+        let renewed = self.targets.get(&life.vm).is_some_and(|known| known.listing.born > life.born);
+        let reused = |known: &Known| {
+            known.missing.is_none()
+                && known.listing.address == address
+                && known.listing.vm != life.vm
+                && known.listing.born > life.born
+        };
+        renewed || self.targets.values().any(reused)
+    }
+
+    fn is_excused(&self, now: Tick) -> bool {
+        self.silent_since.is_some() || self.back_since.is_some_and(|back| now.since(back) < RETURN)
+    }
+}
--- /dev/null
+++ b/crates/hold/src/map.rs
@@ -0,0 +1,231 @@
+//! The holders of a service's keys, as one row of the store.
+
+use {
+    key::{Fence, Version, Vm, Zone},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+    thiserror::Error as Derive,
+};
+
+/// A contiguous run of keys, both ends inclusive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Span {
+    /// The first key.
+    pub first: u16,
+    /// The last key.
+    pub last: u16,
+}
+
+impl Span {
+    /// Every key.
+    pub const ALL: Self = Self { first: 0, last: u16::MAX };
+
+    /// Tells whether the span has a key.
+    #[must_use]
+    pub const fn contains(self, key: u16) -> bool {
+        self.first <= key && key <= self.last
+    }
+
+    /// Tells whether two spans have a key in common.
+    #[must_use]
+    pub const fn overlaps(self, other: Self) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
+    /// Returns what is left of the span without `other`, before and after it.
+    #[must_use]
+    pub fn without(self, other: Self) -> [Option<Self>; 2] {
+        if !self.overlaps(other) {
+            return [Some(self), None];
+        }
+        let before = (self.first < other.first)
+            .then(|| Self { first: self.first, last: other.first - 1 });
+        let after =
+            (other.last < self.last).then(|| Self { first: other.last + 1, last: self.last });
+        [before, after]
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub const fn width(self) -> u32 {
+        self.last as u32 - self.first as u32 + 1
+    }
+}
+
+/// One run of a target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The target.
+    pub vm: Vm,
+    /// When the run began, in milliseconds of the target's clock.
+    pub born: u64,
+}
+
+/// A target that holds keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Its run.
+    pub life: Life,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+}
+
+/// Keys with one holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The keys.
+    pub span: Span,
+    /// The index of the holder in [`Map::holders`], or nothing if nobody may hold the keys.
+    pub holder: Option<u16>,
+    /// The fence; zero in a row stands for the version of the row.
+    pub fence: Fence,
+}
+
+/// Why a row cannot be read.
+#[derive(Debug, Derive)]
+pub enum Error {
+    /// It is no JSON of the expected form.
+    #[error("malformed map: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// The holdings do not cover each key once, or name no holder.
+    #[error("the holdings do not cover each key once")]
+    Gap,
+}
+
+/// The holders of all keys of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Map {
+    /// The version of the row; zero before it was written.
+    #[serde(skip)]
+    pub version: Version,
+    /// The targets that hold keys.
+    pub holders: Vec<Holder>,
+    /// The holdings in the order of their keys.
+    pub holdings: Vec<Holding>,
+}
+
+impl Map {
+    /// Returns a map in which nobody holds any key.
+    #[must_use]
+    pub fn vacant() -> Self {
+        let holding = Holding { span: Span::ALL, holder: None, fence: Fence::ZERO };
+        Self { version: Version::ZERO, holders: Vec::new(), holdings: vec![holding] }
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if the row is not a whole map.
+    pub fn parse(bytes: &[u8], version: Version) -> Result<Self, Error> {
+        let mut map: Self = serde_json::from_slice(bytes)?;
+        map.version = version;
+        let mut next = 0_u32;
+        for holding in &mut map.holdings {
+            let known =
+                holding.holder.is_none_or(|holder| usize::from(holder) < map.holders.len());
+            let Span { first, last } = holding.span;
+            if u32::from(first) != next || last < first || !known {
+                return Err(Error::Gap);
+            }
+            next = u32::from(last) + 1;
+            if holding.fence == Fence::ZERO {
+                holding.fence = Fence::from(version.get());
+            }
+        }
+        if next == Span::ALL.width() { Ok(map) } else { Err(Error::Gap) }
+    }
+
+    /// Returns the row.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        // A map has string keys only, so that it always has a form in JSON.
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Returns the holding of a key.
+    #[must_use]
+    pub fn holding(&self, key: u16) -> Option<&Holding> {
+        let at = self.holdings.partition_point(|holding| holding.span.last < key);
+        self.holdings.get(at)
+    }
+
+    /// Returns the holder of a holding.
+    #[must_use]
+    pub fn holder(&self, holding: &Holding) -> Option<&Holder> {
+        self.holders.get(usize::from(holding.holder?))
+    }
+
+    /// Returns the holdings of a run of a target.
+    pub fn held_by<'a>(&'a self, life: &'a Life) -> impl Iterator<Item = &'a Holding> {
+        self.holdings
+            .iter()
+            .filter(move |holding| self.holder(holding).is_some_and(|holder| holder.life == *life))
+    }
+
+    /// Gives keys to a holder, or to nobody, with a fence that the store will give.
+    pub fn assign(&mut self, span: Span, holder: Option<Holder>) {
+        let index = holder.map(|holder| self.index(holder));
+        let mut holdings = Vec::with_capacity(self.holdings.len() + 2);
+        for holding in self.holdings.drain(..) {
+            for span in holding.span.without(span).into_iter().flatten() {
+                holdings.push(Holding { span, ..holding });
+            }
+        }
+        holdings.push(Holding { span, holder: index, fence: Fence::ZERO });
+        holdings.sort_by_key(|holding| holding.span);
+        self.holdings = holdings;
+        self.forget_idle_holders();
+    }
+
+    /// Gives every holding a new fence.
+    pub fn refence(&mut self) {
+        for holding in &mut self.holdings {
+            holding.fence = Fence::ZERO;
+        }
+        self.merge();
+    }
+
+    fn index(&mut self, holder: Holder) -> u16 {
+        let known = self.holders.iter().position(|known| known.life == holder.life);
+        let at = known.unwrap_or_else(|| {
+            self.holders.push(holder);
+            self.holders.len() - 1
+        });
+        at as u16
+    }
+
+    /// Joins neighbours that both wait for the same new fence.
+    fn merge(&mut self) {
+        let mut merged: Vec<Holding> = Vec::with_capacity(self.holdings.len());
+        for holding in self.holdings.drain(..) {
+            match merged.last_mut() {
+                Some(last)
+                    if last.holder == holding.holder
+                        && last.fence == Fence::ZERO
+                        && holding.fence == Fence::ZERO =>
+                {
+                    last.span.last = holding.span.last;
+                }
+                _ => merged.push(holding),
+            }
+        }
+        self.holdings = merged;
+    }
+
+    fn forget_idle_holders(&mut self) {
+        let mut holders = Vec::with_capacity(self.holders.len());
+        let mut moved = vec![None; self.holders.len()];
+        for holding in &mut self.holdings {
+            let Some(old) = holding.holder.map(usize::from) else { continue };
+            let new = *moved[old].get_or_insert_with(|| {
+                holders.push(self.holders[old].clone());
+                (holders.len() - 1) as u16
+            });
+            holding.holder = Some(new);
+        }
+        self.holders = holders;
+    }
+}
--- /dev/null
+++ b/crates/hold/src/planner.rs
@@ -0,0 +1,648 @@
+//! Deciding who holds which keys of one service, and keeping the grants alive.
+//!
+//! The planner runs in the one entry that leads. It is told what happened and answers with
+//! [`Action`]s; it never waits. Three rules keep one holder for each key:
+//!
+//! 1. A grant goes out only when the [`Ledger`] shows no other run of a target that may hold one of
+//!    its keys.
+//! 2. What is granted stands in the row first, and the fence is the version of the row.
+//! 3. A new leader gives every holding a new fence. Until a target has answered to it, the former
+//!    leader may still renew there, so the ledger counts what it might have granted at the latest.
+
+use {
+    crate::{
+        balance::{self, Candidate, Load},
+        ledger::Ledger,
+        list::{Known, Presence, Registry},
+        map::{Holder, Life, Map, Span},
+    },
+    key::{Fence, Service, Version, clock::Tick},
+    smol_str::SmolStr,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// The share by which a target's clock may run slow.
+const DRIFT: f64 = 0.02;
+
+/// The stripes of each target in the first map.
+const STRIPES: usize = 3;
+
+/// The most moves at a time.
+const MOVES: usize = 8;
+
+/// The failures of orders in a row after which a target counts as silent.
+const SILENT_AFTER: u32 = 2;
+
+/// The timing of grants.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// The life of a grant.
+    pub hold: Duration,
+    /// The time between renewals.
+    pub renew: Duration,
+    /// The time one order may take, and after which its connection is given up.
+    pub order_timeout: Duration,
+    /// The allowance for orders on their way when their connection is given up.
+    pub margin: Duration,
+    /// The longest time for which a former leader may renew without the store.
+    pub right: Duration,
+}
+
+impl Config {
+    fn longest(&self) -> Duration {
+        self.hold.mul_f64(1.0 + DRIFT) + self.margin
+    }
+}
+
+/// One grant to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The keys.
+    pub span: Span,
+    /// The fence.
+    pub fence: Fence,
+    /// What the last holder left, if the keys are new to the target.
+    pub handover: Option<SmolStr>,
+}
+
+/// Something to do for the planner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send grants to a target, one after the other.
+    Grant {
+        /// The run of the target.
+        life: Life,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The grants.
+        grants: Vec<Grant>,
+    },
+    /// Take keys back.
+    Release {
+        /// The run of the target.
+        life: Life,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The keys.
+        span: Span,
+        /// Their fence.
+        fence: Fence,
+    },
+    /// Write the row if it still has its version.
+    Write(Map),
+}
+
+/// What came of one grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target holds the keys.
+    Granted,
+    /// The order was not sent.
+    Unsent,
+    /// The order may be obeyed, now or later.
+    Lost,
+    /// The target has seen a higher fence: another process leads.
+    Fenced,
+    /// The target refused.
+    Refused,
+}
+
+/// What came of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It took effect with this version.
+    Done(Version),
+    /// It did not take effect.
+    Refused,
+    /// The row must be read to find out.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Step {
+    Releasing,
+    Released(Option<SmolStr>),
+}
+
+#[derive(Clone, Debug)]
+struct Move {
+    span: Span,
+    from: Life,
+    to: Option<Life>,
+    step: Step,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Contact {
+    busy: bool,
+    /// When grants were last sent.
+    sent: Option<Tick>,
+    /// The highest fence that the target has answered to, for each span.
+    fences: BTreeMap<Span, Fence>,
+    failures: u32,
+    /// The version of the target's entry in the list when it last failed.
+    failed_at: Version,
+}
+
+impl Contact {
+    /// Tells whether the target has answered to a fence for every key of a span.
+    fn covers(&self, span: Span, fence: Fence) -> bool {
+        self.fences.iter().any(|(known, seen)| {
+            known.first <= span.first && span.last <= known.last && *seen == fence
+        })
+    }
+}
+
+/// The decisions about one service.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    service: Service,
+    config: Config,
+    map: Map,
+    ledger: Ledger,
+    contacts: BTreeMap<Life, Contact>,
+    moves: Vec<Move>,
+    handovers: BTreeMap<Span, SmolStr>,
+    /// The map that is being written.
+    writing: Option<Map>,
+    /// Whether the row must be read again before anything else is written.
+    unread: bool,
+    /// Whether every holding has had a new fence since this process leads.
+    refenced: bool,
+    /// The lowest fence that a former leader cannot have sent.
+    first_fence: Fence,
+    load: Load,
+    balanced: Tick,
+}
+
+impl Planner {
+    /// Takes over a service at `now` with its row as it was read after this process came to lead.
+    #[must_use]
+    pub fn new(service: Service, config: Config, map: Option<Map>, now: Tick) -> Self {
+        let map = map.unwrap_or_else(Map::vacant);
+        let mut ledger = Ledger::default();
+        let until = now.plus(config.right + config.longest());
+        for holding in &map.holdings {
+            if let Some(holder) = map.holder(holding) {
+                ledger.extend(&holder.life, holding.span, until);
+            }
+        }
+        Self {
+            service,
+            config,
+            refenced: map.version == Version::ZERO,
+            first_fence: Fence::ZERO,
+            map,
+            ledger,
+            contacts: BTreeMap::new(),
+            moves: Vec::new(),
+            handovers: BTreeMap::new(),
+            writing: None,
+            unread: false,
+            load: Load::default(),
+            balanced: now,
+        }
+    }
+
+    /// Returns the map.
+    #[must_use]
+    pub const fn map(&self) -> &Map {
+        &self.map
+    }
+
+    /// Returns the load that entries have reported.
+    pub const fn load(&mut self) -> &mut Load {
+        &mut self.load
+    }
+
+    /// Tells whether the row must be read before the planner can go on.
+    #[must_use]
+    pub const fn wants_reading(&self) -> bool {
+        self.unread
+    }
+
+    /// Looks at everything and returns what to do.
+    pub fn step(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
+        self.ledger.expire(now);
+        self.note_ends(registry);
+        let mut actions = self.renewals(registry, now);
+        if self.writing.is_none() && !self.unread {
+            if self.refenced {
+                actions.extend(self.releases(registry, now));
+            }
+            actions.extend(self.write(registry, now));
+        }
+        actions
+    }
+
+    fn note_ends(&mut self, registry: &Registry) {
+        let ended: BTreeSet<Life> = self
+            .map
+            .holders
+            .iter()
+            .filter(|holder| registry.has_ended(&holder.life, holder.address))
+            .map(|holder| holder.life.clone())
+            .collect();
+        for life in ended {
+            self.ledger.end(&life);
+        }
+    }
+
+    fn renewals(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for holder in self.map.holders.clone() {
+            if registry.has_ended(&holder.life, holder.address) || !self.may_order(registry, &holder)
+            {
+                continue;
+            }
+            let grants = self.due_grants(&holder.life, now);
+            if grants.is_empty() {
+                continue;
+            }
+            let until = now.plus(self.config.order_timeout + self.config.longest());
+            for grant in &grants {
+                self.ledger.extend(&holder.life, grant.span, until);
+            }
+            let contact = self.contacts.entry(holder.life.clone()).or_default();
+            contact.busy = true;
+            contact.sent = Some(now);
+            actions.push(Action::Grant { life: holder.life, address: holder.address, grants });
+        }
+        actions
+    }
+
+    /// Tells whether orders may go to a target: one that has been silent must first show in the list
+    /// that it lives.
+    fn may_order(&self, registry: &Registry, holder: &Holder) -> bool {
+        let Some(contact) = self.contacts.get(&holder.life) else { return true };
+        if contact.busy {
+            return false;
+        }
+        let version = registry.get(&holder.life.vm).map_or(Version::ZERO, |known| known.version);
+        contact.failures < SILENT_AFTER || version > contact.failed_at
+    }
+
+    fn due_grants(&self, life: &Life, now: Tick) -> Vec<Grant> {
+        let contact = self.contacts.get(life);
+        let sent = contact.and_then(|contact| contact.sent);
+        let due = sent.is_none_or(|sent| now.since(sent) >= self.config.renew);
+        let mut grants = Vec::new();
+        for holding in self.map.held_by(life) {
+            for span in self.unmoved(holding.span) {
+                if !due && contact.is_some_and(|contact| contact.covers(span, holding.fence)) {
+                    continue;
+                }
+                if !self.ledger.is_held_by_another(Some(life), span, now) {
+                    let handover = self.handovers.get(&span).cloned();
+                    grants.push(Grant { span, fence: holding.fence, handover });
+                }
+            }
+        }
+        grants
+    }
+
+    /// Returns the parts of a span that are not being moved.
+    fn unmoved(&self, span: Span) -> Vec<Span> {
+        self.moves.iter().fold(vec![span], |parts, moving| {
+            parts.into_iter().flat_map(|part| part.without(moving.span)).flatten().collect()
+        })
+    }
+
+    /// Takes the results of grants that were sent, in order, and tells whether another process
+    /// seems to lead.
+    pub fn granted(
+        &mut self,
+        life: &Life,
+        results: &[(Grant, Outcome)],
+        version: Version,
+        now: Tick,
+    ) -> bool {
+        let until = now.plus(self.config.longest());
+        let mut failed = false;
+        let mut fenced = false;
+        for (grant, outcome) in results {
+            match outcome {
+                Outcome::Granted => {
+                    if self.refenced && grant.fence >= self.first_fence {
+                        self.ledger.replace(life, grant.span, until);
+                    } else {
+                        self.ledger.extend(life, grant.span, until);
+                    }
+                    self.handovers.remove(&grant.span);
+                    let contact = self.contacts.entry(life.clone()).or_default();
+                    contact.fences.retain(|span, _| !span.overlaps(grant.span));
+                    contact.fences.insert(grant.span, grant.fence);
+                }
+                Outcome::Lost => {
+                    self.ledger.extend(life, grant.span, until);
+                    failed = true;
+                }
+                Outcome::Unsent => failed = true,
+                Outcome::Refused => failed = true,
+                Outcome::Fenced => fenced = true,
+            }
+        }
+        let contact = self.contacts.entry(life.clone()).or_default();
+        contact.busy = false;
+        if failed {
+            contact.failures += 1;
+            contact.failed_at = version;
+        } else {
+            contact.failures = 0;
+        }
+        fenced
+    }
+
+    fn releases(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
+        let mut wanted = self.departures(registry, now);
+        if wanted.is_empty() && self.moves.is_empty() {
+            wanted = self.rebalance(registry, now);
+        }
+        let mut actions = Vec::new();
+        for moving in wanted {
+            let Some(holder) = self.map.holders.iter().find(|holder| holder.life == moving.from)
+            else {
+                continue;
+            };
+            let Some(holding) = self.map.holding(moving.span.first) else { continue };
+            actions.push(Action::Release {
+                life: moving.from.clone(),
+                address: holder.address,
+                span: moving.span,
+                fence: holding.fence,
+            });
+            self.moves.push(moving);
+        }
+        actions
+    }
+
+    /// Returns the moves away from targets that are leaving.
+    fn departures(&self, registry: &Registry, now: Tick) -> Vec<Move> {
+        let mut moves = Vec::new();
+        for holder in &self.map.holders {
+            let leaving = match registry.get(&holder.life.vm) {
+                Some(known) if known.listing.life() == holder.life => {
+                    matches!(registry.presence(known, now), Presence::Leaving(_))
+                }
+                _ => false,
+            };
+            if !leaving || !self.has_answered(&holder.life) {
+                continue;
+            }
+            for holding in self.map.held_by(&holder.life) {
+                let span = holding.span;
+                if !self.moves.iter().any(|moving| moving.span.overlaps(span)) {
+                    let from = holder.life.clone();
+                    moves.push(Move { span, from, to: None, step: Step::Releasing });
+                }
+            }
+        }
+        moves
+    }
+
+    /// Tells whether a target has answered to its present fences, so that no former leader can
+    /// renew there, and answers at all.
+    fn has_answered(&self, life: &Life) -> bool {
+        let Some(contact) = self.contacts.get(life) else { return false };
+        let answered = |span: Span, fence: Fence| {
+            contact.fences.iter().any(|(known, seen)| known.overlaps(span) && *seen >= fence)
+        };
+        contact.failures == 0
+            && self.map.held_by(life).all(|holding| answered(holding.span, holding.fence))
+    }
+
+    fn rebalance(&mut self, registry: &Registry, now: Tick) -> Vec<Move> {
+        let seconds = now.since(self.balanced).as_secs_f64();
+        self.balanced = now;
+        self.load.decay(seconds);
+        let candidates: Vec<Candidate> = self
+            .ready(registry, now)
+            .filter(|known| {
+                let life = known.listing.life();
+                self.has_answered(&life)
+                    || (self.map.held_by(&life).next().is_none() && known.listing.cold_ms == 0)
+            })
+            .map(|known| Candidate { life: known.listing.life(), slots: known.listing.slots })
+            .collect();
+        balance::shifts(&self.map, &self.load, &candidates, MOVES)
+            .into_iter()
+            .map(|shift| Move {
+                span: shift.span,
+                from: shift.from,
+                to: Some(shift.to),
+                step: Step::Releasing,
+            })
+            .collect()
+    }
+
+    fn ready<'a>(
+        &'a self,
+        registry: &'a Registry,
+        now: Tick,
+    ) -> impl Iterator<Item = &'a Known> + 'a {
+        registry
+            .of(&self.service)
+            .filter(move |known| registry.presence(known, now) == Presence::Ready)
+    }
+
+    /// Takes the result of a release.
+    pub fn released(&mut self, life: &Life, span: Span, result: Result<Option<SmolStr>, Outcome>) {
+        let Some(at) =
+            self.moves.iter().position(|moving| moving.from == *life && moving.span == span)
+        else {
+            return;
+        };
+        match result {
+            Ok(handover) => {
+                self.ledger.remove(life, span);
+                self.moves[at].step = Step::Released(handover);
+            }
+            Err(_) => {
+                self.moves.remove(at);
+                // The target may have obeyed, so what it holds is granted anew.
+                let contact = self.contacts.entry(life.clone()).or_default();
+                contact.fences.retain(|known, _| !known.overlaps(span));
+                contact.failures += 1;
+            }
+        }
+    }
+
+    /// Returns the new map, if anything in it has to change.
+    fn write(&mut self, registry: &Registry, now: Tick) -> Option<Action> {
+        let mut map = self.map.clone();
+        if !self.refenced {
+            map.refence();
+        }
+        let mut changed = !self.refenced;
+        if self.refenced {
+            // Moves end together, so that one write carries all of them.
+            let waits = self.moves.iter().any(|moving| moving.step == Step::Releasing);
+            let departed = self.moves.iter().any(|moving| moving.to.is_none());
+            if !waits || departed {
+                for moving in self.moves.clone() {
+                    let Step::Released(handover) = moving.step else { continue };
+                    let to = self.receiver(registry, moving.to.as_ref(), &map, moving.span, now);
+                    if let Some(to) = to {
+                        map.assign(moving.span, Some(to));
+                        if let Some(handover) = handover {
+                            self.handovers.insert(moving.span, handover);
+                        }
+                        changed = true;
+                    }
+                }
+            }
+            changed |= self.place_free_keys(registry, &mut map, now);
+        }
+        if !changed || map == self.map {
+            return None;
+        }
+        self.writing = Some(map.clone());
+        Some(Action::Write(map))
+    }
+
+    /// Gives keys that nobody can hold any more to targets that are ready.
+    fn place_free_keys(&self, registry: &Registry, map: &mut Map, now: Tick) -> bool {
+        let free: Vec<Span> = self
+            .map
+            .holdings
+            .iter()
+            .filter(|holding| {
+                let moving = self.moves.iter().any(|moving| moving.span.overlaps(holding.span));
+                let held = self.ledger.is_held_by_another(None, holding.span, now);
+                let usable = self.map.holder(holding).is_some_and(|holder| {
+                    let known = registry.get(&holder.life.vm);
+                    known.is_some_and(|known| {
+                        known.listing.life() == holder.life
+                            && registry.presence(known, now) == Presence::Ready
+                    }) && !self.is_silent(&holder.life)
+                });
+                !moving && !held && !usable
+            })
+            .map(|holding| holding.span)
+            .collect();
+        if free == [Span::ALL] {
+            return self.place_all(registry, map, now);
+        }
+        let mut changed = false;
+        for span in free {
+            if let Some(to) = self.receiver(registry, None, map, span, now) {
+                map.assign(span, Some(to));
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    fn place_all(&self, registry: &Registry, map: &mut Map, now: Tick) -> bool {
+        let ready: Vec<Holder> = self.ready(registry, now).map(holder).collect();
+        if ready.is_empty() {
+            return false;
+        }
+        for (span, at) in balance::stripes(ready.len(), STRIPES) {
+            map.assign(span, Some(ready[at].clone()));
+        }
+        true
+    }
+
+    fn is_silent(&self, life: &Life) -> bool {
+        self.contacts.get(life).is_some_and(|contact| contact.failures >= SILENT_AFTER)
+    }
+
+    /// Returns who gets keys: the target that was meant, or else the least loaded.
+    fn receiver(
+        &self,
+        registry: &Registry,
+        meant: Option<&Life>,
+        map: &Map,
+        span: Span,
+        now: Tick,
+    ) -> Option<Holder> {
+        let ready: Vec<Holder> = self
+            .ready(registry, now)
+            .map(holder)
+            .filter(|holder| !self.is_silent(&holder.life))
+            .collect();
+        let meant = meant.and_then(|life| ready.iter().find(|holder| holder.life == *life));
+        if let Some(holder) = meant {
+            return Some(holder.clone());
+        }
+        // A target that started anew at the same place keeps the keys it had.
+        let before = self.map.holding(span.first).and_then(|holding| self.map.holder(holding));
+        let again = before.and_then(|before| {
+            ready.iter().find(|holder| {
+                holder.life.vm == before.life.vm && holder.life.born > before.life.born
+            })
+        });
+        if let Some(holder) = again {
+            return Some(holder.clone());
+        }
+        let weight = |holder: &Holder| {
+            let held = map.held_by(&holder.life);
+            held.map(|holding| {
+                self.load.rate(holding.span) + f64::from(holding.span.width()) / 65_536.0
+            })
+            .sum::<f64>()
+        };
+        ready.into_iter().min_by(|a, b| weight(a).total_cmp(&weight(b)))
+    }
+
+    /// Takes the result of the write.
+    pub fn written(&mut self, result: Written) {
+        let Some(mut map) = self.writing.take() else { return };
+        match result {
+            Written::Done(version) => {
+                for holding in &mut map.holdings {
+                    if holding.fence == Fence::ZERO {
+                        holding.fence = Fence::from(version.get());
+                    }
+                }
+                map.version = version;
+                self.settle(map);
+            }
+            Written::Refused => {}
+            Written::Unknown => self.unread = true,
+        }
+    }
+
+    /// Takes the row as it was read; an older one than is known changes nothing.
+    pub fn read(&mut self, map: Map) {
+        if self.writing.is_some() {
+            return;
+        }
+        self.unread = false;
+        if map.version > self.map.version {
+            self.settle(map);
+        }
+    }
+
+    fn newest_fence(&self) -> Fence {
+        self.map.holdings.iter().map(|holding| holding.fence).max().unwrap_or_default()
+    }
+
+    fn settle(&mut self, map: Map) {
+        if !self.refenced {
+            let fences = map.holdings.iter().map(|holding| holding.fence);
+            self.first_fence = fences.min().unwrap_or_default();
+            self.refenced = self.first_fence > self.newest_fence();
+        }
+        self.moves.retain(|moving| {
+            let holder = map.holding(moving.span.first).and_then(|holding| map.holder(holding));
+            holder.is_some_and(|holder| holder.life == moving.from)
+        });
+        let lives: BTreeSet<&Life> = map.holders.iter().map(|holder| &holder.life).collect();
+        self.contacts.retain(|life, contact| contact.busy || lives.contains(life));
+        self.map = map;
+    }
+}
+
+fn holder(known: &Known) -> Holder {
+    Holder {
+        life: known.listing.life(),
+        address: known.listing.address,
+        zone: known.listing.zone.clone(),
+    }
+}
--- a/crates/own/src/guardian.rs
+++ b/crates/own/src/guardian.rs
@@ -14,7 +14,7 @@
     },
     conf::services::Fencing,
     key::{Process, Shard, Vm, clock::Tick},
-    platform::vms,
+    store::vms,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
--- a/crates/own/src/node/event.rs
+++ b/crates/own/src/node/event.rs
@@ -10,7 +10,7 @@
     },
     conf::services::Text,
     key::{Process, Service, Shard, Stamp, Version, Vm, clock::Tick},
-    platform::{
+    store::{
         Commit,
         table::{self, Condition, Transaction},
         vms::Listed,
--- a/crates/own/src/node/results.rs
+++ b/crates/own/src/node/results.rs
@@ -10,7 +10,7 @@
         },
     },
     key::{Version, clock::Tick},
-    platform::Commit,
+    store::Commit,
 };
 
 impl Node {
@@ -67,7 +67,7 @@
     fn conflicted(
         &mut self,
         pending: Pending,
-        rows: &[platform::Row],
+        rows: &[store::Row],
         now: Tick,
         actions: &mut Vec<Action>,
     ) {
--- a/crates/own/src/node/view.rs
+++ b/crates/own/src/node/view.rs
@@ -7,7 +7,7 @@
     },
     conf::services::{Fencing, Isolation, Keyed, Text},
     key::{Process, Service, Shard, Vm, Zone, clock::Tick},
-    platform::vms::{Listed, State},
+    store::vms::{Listed, State},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
--- a/crates/own/tests/bench/mod.rs
+++ b/crates/own/tests/bench/mod.rs
@@ -9,7 +9,7 @@
         lease::{Answer, Holder, Offer, Terms},
         stop,
     },
-    platform::{
+    store::{
         Commit,
         vms::{Listed, State},
     },
--- a/crates/own/tests/rules.rs
+++ b/crates/own/tests/rules.rs
@@ -11,7 +11,7 @@
         lease::{Held, Holder, Offer, Verdict, digest},
         stop,
     },
-    platform::Commit,
+    store::Commit,
     std::time::Duration,
 };
 
@@ -194,7 +194,7 @@
     assert_eq!(first.rows, second.rows);
     assert_ne!(first.id, second.id);
     let (base, row) = second.rows[0].clone();
-    let current = platform::Row {
+    let current = store::Row {
         name: name().row_name().into(),
         version: base.next(),
         value: Some(row.encode()),
--- a/crates/own/tests/sim/faults.rs
+++ b/crates/own/tests/sim/faults.rs
@@ -8,7 +8,7 @@
         Config, Event, Node,
         lease::{Holder, Terms},
     },
-    platform::vms::State,
+    store::vms::State,
     rand::Rng,
     std::{sync::Arc, time::Duration},
 };
--- a/crates/own/tests/sim/mod.rs
+++ b/crates/own/tests/sim/mod.rs
@@ -15,7 +15,7 @@
         lease::{Holder, Offer},
         stop,
     },
-    platform::{
+    store::{
         Commit,
         vms::{ENTRY_ROLE, Listed, State},
     },
--- a/crates/own/tests/sim/network.rs
+++ b/crates/own/tests/sim/network.rs
@@ -10,7 +10,7 @@
         cell::Target as Address,
         lease::{Answer, Offer},
     },
-    platform::{
+    store::{
         Commit,
         table::{self, Condition},
         vms::{Listed, State},
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -9,12 +9,14 @@
 
 pub mod burn;
 mod html;
+pub mod journal;
 pub mod log;
 pub mod metric;
 
 pub use crate::{
     burn::Burn,
     html::page,
+    journal::Journal,
     log::{Kind, Record, Ring},
     metric::Metrics,
 };
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -23,6 +23,9 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
+    /// The entry knows no routing text yet.
+    #[display("no-configuration")]
+    NoConfiguration,
     /// The path names no service of the operators' text.
     #[display("unknown-service")]
     UnknownService,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,7 +7,7 @@
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     key::{Version, clock::Tick},
-    platform::{
+    store::{
         table::{Answer, Row, Scan, Transaction},
         vms::{List, Listed},
     },
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -3,7 +3,7 @@
 
 use {
     key::{Incarnation, Version, Vm},
-    platform::{
+    store::{
         Client, Commit, Config, ErrorKind,
         table::{Condition, Transaction, Write},
     },
--- a/crates/trial/src/bin/measure/outage.rs
+++ b/crates/trial/src/bin/measure/outage.rs
@@ -3,7 +3,7 @@
 use {
     crate::stats,
     key::clock::Tick,
-    platform::vms::State,
+    store::vms::State,
     serde_json::json,
     standin::journal::Kind,
     std::time::{Duration, Instant},
--- a/crates/trial/src/bin/measure/slopes.rs
+++ b/crates/trial/src/bin/measure/slopes.rs
@@ -10,7 +10,7 @@
         cell::Target,
         lease::{Answer, Holder, Terms},
     },
-    platform::{
+    store::{
         Commit,
         vms::{Listed, State},
     },
--- a/crates/trial/src/faults.rs
+++ b/crates/trial/src/faults.rs
@@ -6,7 +6,7 @@
         fleet::{local, merge, zone_name},
         process::Process,
     },
-    platform::vms::{ENTRY_ROLE, Listed, State},
+    store::vms::{ENTRY_ROLE, Listed, State},
     serde_json::{Value, json},
     standin::{
         platform::Fault as PlatformFault,
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -6,7 +6,7 @@
         process::{Process, free_port},
     },
     key::{Incarnation, Vm, Zone},
-    platform::vms::{ENTRY_ROLE, Listed, State},
+    store::vms::{ENTRY_ROLE, Listed, State},
     serde_json::{Value, json},
     standin::{
         journal::{self, Journal, Line},
--- a/crates/trial/tests/configuration.rs
+++ b/crates/trial/tests/configuration.rs
@@ -3,7 +3,7 @@
 use {
     entry::Conflict,
     peer::{Error, Hello, PROTOCOL, Refused, Versioned},
-    platform::vms::State,
+    store::vms::State,
     standin::platform::Fault as PlatformFault,
     std::{collections::BTreeMap, time::Duration},
     trial::{Fleet, Plan, eventually},
--- a/crates/trial/tests/outage.rs
+++ b/crates/trial/tests/outage.rs
@@ -1,7 +1,7 @@
 //! The platform down, and availability zones cut off.
 
 use {
-    platform::vms::State,
+    store::vms::State,
     serde_json::json,
     standin::platform::Fault as PlatformFault,
     std::time::{Duration, Instant},
--- a/crates/trial/tests/ownership.rs
+++ b/crates/trial/tests/ownership.rs
@@ -1,7 +1,7 @@
 //! One owner at a time, with real processes.
 
 use {
-    platform::vms::State,
+    store::vms::State,
     serde_json::json,
     standin::{platform::Fault as PlatformFault, proxy::Fault},
     std::time::Duration,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -18,10 +18,16 @@
 };
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_BODY_LIMIT_BYTES: usize = 64 << 20;
 const IDLE_PER_HOST: usize = 2;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The probes by which a connection that went silent is found out while an answer is awaited.
+const PROBE_AFTER: Duration = Duration::from_millis(700);
+const PROBE_EVERY: Duration = Duration::from_millis(350);
+const PROBES: u32 = 3;
+
 /// The bounds of a [`Client`].
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -64,7 +70,10 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_local_address(self.source);
-        connector.set_connect_timeout(Some(self.timeout));
+        connector.set_connect_timeout(Some(self.timeout.min(CONNECT_TIMEOUT)));
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_EVERY));
+        connector.set_keepalive_retries(Some(PROBES));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(IDLE_PER_HOST)
