Take keys back only while no grant is on its way to the same target

Ruled out: a release answered too early; the target answered 8 ms after the release, as it had no work. Change: a release waits for the answer to grants under way, and a step looks at releases before renewals, which then leave out what is being taken back.

--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -229,13 +229,14 @@
     pub fn step(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
         self.ledger.expire(now);
         self.note_ends(registry);
-        let mut actions = self.renewals(registry, now);
+        let mut actions = Vec::new();
         if self.writing.is_none() && !self.unread {
             if self.refenced {
                 actions.extend(self.releases(registry, now));
             }
             actions.extend(self.write(registry, now));
         }
+        actions.extend(self.renewals(registry, now));
         actions
     }
 
@@ -404,10 +405,12 @@
         moves
     }
 
-    /// Tells whether a target has answered to its present fences, so that no former leader can
-    /// renew there, and answers at all.
+    /// Tells whether keys can be taken from a target: it has answered to its present fences, so that
+    /// no former leader can renew there, and no grant is on its way that could overtake a release.
     fn has_answered(&self, life: &Life) -> bool {
-        let Some(contact) = self.contacts.get(life) else { return false };
+        let Some(contact) = self.contacts.get(life).filter(|contact| !contact.busy) else {
+            return false;
+        };
         let answered = |span: Span, fence: Fence| {
             contact.fences.iter().any(|(known, seen)| known.overlaps(span) && *seen >= fence)
         };
