Rest the holders of keys on a model in virtual time, and mend what it found

Change: a failed order bars lower fences until the target lives by the list; a successor writes new fences before it orders; grants leave out what a doubtful write gives away; only entries that vanish right after an outage are excused. Ruled out: waiting for a sign of life in the list before connecting anew, since the target may end between the two.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -11,7 +11,7 @@
     hold::{Life, Listing, Map},
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
-    key::{Incarnation, Service, Version, Vm},
+    key::{Service, Version, Vm},
     route::quarantine::Strike,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -62,7 +62,6 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Report {
     pub(crate) vm: Vm,
-    pub(crate) incarnation: Incarnation,
     pub(crate) routing: Version,
     pub(crate) maps: Vec<MapVersion>,
     /// Whether the entry cannot read the list of targets.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -165,7 +165,7 @@
                 self.take_released(&service, &life, span, result);
             }
             Input::Report { report, answer } => {
-                let reply = self.take_report(report, now);
+                let reply = self.take_report(&report, now);
                 // A peer that gave up waiting reports again.
                 if answer.send(reply).is_err() {
                     self.shared.counters.count("replies", "too late");
@@ -297,6 +297,7 @@
                 Subject::Member(vm) => match serde_json::from_slice(value) {
                     Ok(member) => {
                         self.members.insert(Vm::from(vm), member);
+                        self.dirty = true;
                     }
                     Err(error) => self.believe(&row.key, row.version, &error.to_string()),
                 },
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -131,7 +131,6 @@
         });
         Report {
             vm: self.me.vm.clone(),
-            incarnation: self.me.incarnation,
             routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
             maps: maps.collect(),
             wants_targets: self.is_turned_away(now) || self.registry.is_empty(),
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -10,10 +10,10 @@
         peers::{Listed, NewMap, Reply, Report},
     },
     hold::{
-        Action, Life, Map, Planner, Span,
+        Action, Life, Links, Map, Planner, Span, links,
         planner::{self, Grant, Outcome, Written},
     },
-    key::{Fence, Incarnation, Service, Version, Vm, clock::Tick},
+    key::{Fence, Service, Version, Vm, clock::Tick},
     platform::{
         order::Link,
         store::{Commit, Table, Write},
@@ -54,30 +54,13 @@
     /// Whether all rows have been read since this process leads.
     ready: bool,
     planners: BTreeMap<Service, Planner>,
-    links: HashMap<Life, LinkState>,
-    reports: HashMap<Vm, Reported>,
-}
-
-/// The connection for grants to one run of a target.
-enum LinkState {
-    /// It is being used.
-    Busy,
-    /// It waits for the next grants.
-    Idle(Link),
-    /// It ended while the list showed this version of the target's entry; only a newer entry proves
-    /// that the same run still lives.
-    Lost(Version),
-}
-
-struct Reported {
-    incarnation: Incarnation,
-    at: Tick,
+    links: Links<Link>,
+    reports: HashMap<Vm, Tick>,
 }
 
 #[derive(Serialize)]
 struct Ordered<'a> {
     order: &'a str,
-    service: &'a str,
     target: &'a str,
     born: u64,
     first: u16,
@@ -105,7 +88,7 @@
             confirming: None,
             ready: false,
             planners: BTreeMap::new(),
-            links: HashMap::new(),
+            links: Links::default(),
             reports: HashMap::new(),
         });
         self.read_own(now);
@@ -150,7 +133,7 @@
         let unread = leading.planners.values().any(Planner::wants_reading);
         let unconfirmed = now.since(leading.confirmed) >= CONFIRM_EVERY;
         let (ready, has_right) = (leading.ready, now.since(leading.confirmed) < RIGHT);
-        leading.reports.retain(|_, reported| now.since(reported.at) < ENTRY_SILENCE);
+        leading.reports.retain(|_, at| now.since(*at) < ENTRY_SILENCE);
         let entries = leading.reports.len() + 1;
         if entries != self.entries {
             self.entries = entries;
@@ -204,7 +187,7 @@
         match action {
             Action::Grant { life, address, grants } => self.grant(service, life, address, grants),
             Action::Release { life, address, span, fence } => {
-                self.note_order("release", &service, &life, span, fence, "sent");
+                self.note_order("release", &life, span, fence, "sent");
                 let inputs = self.inputs.clone();
                 tokio::task::spawn_local(async move {
                     let result = orders::release(&life, address, span, fence).await;
@@ -215,20 +198,11 @@
         }
     }
 
-    fn note_order(
-        &self,
-        order: &str,
-        service: &Service,
-        life: &Life,
-        span: Span,
-        fence: Fence,
-        outcome: &str,
-    ) {
+    fn note_order(&self, order: &str, life: &Life, span: Span, fence: Fence, outcome: &str) {
         self.shared.journal.note(
             "order",
             &Ordered {
                 order,
-                service: service.as_str(),
                 target: life.vm.as_str(),
                 born: life.born,
                 first: span.first,
@@ -242,24 +216,17 @@
     fn grant(&mut self, service: Service, life: Life, address: SocketAddr, grants: Vec<Grant>) {
         let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
         let Some(leading) = &mut self.leading else { return };
-        let way = match leading.links.insert(life.clone(), LinkState::Busy) {
-            Some(LinkState::Idle(link)) if !link.is_closed() => Some(Way::Open(link)),
-            Some(LinkState::Idle(_)) => {
-                leading.links.insert(life.clone(), LinkState::Lost(version));
-                None
+        let way = match leading.links.take(&life, |link| !link.is_closed()) {
+            links::Way::Open(link) => Way::Open(link),
+            links::Way::Fresh => Way::Fresh,
+            links::Way::Ended => {
+                let unsent: Vec<_> =
+                    grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
+                if let Some(planner) = leading.planners.get_mut(&service) {
+                    planner.granted(&life, &unsent, version, Tick::now());
+                }
+                return;
             }
-            Some(LinkState::Lost(before)) if version <= before => {
-                leading.links.insert(life.clone(), LinkState::Lost(before));
-                None
-            }
-            _ => Some(Way::Fresh),
-        };
-        let Some(way) = way else {
-            let unsent: Vec<_> = grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
-            if let Some(planner) = leading.planners.get_mut(&service) {
-                planner.granted(&life, &unsent, version, Tick::now());
-            }
-            return;
         };
         let (hold, inputs) = (self.shared.settings.hold.get(), self.inputs.clone());
         tokio::task::spawn_local(async move {
@@ -280,12 +247,13 @@
         for (grant, outcome) in results {
             if *outcome != Outcome::Granted {
                 let outcome = format!("{outcome:?}");
-                self.note_order("grant", service, life, grant.span, grant.fence, &outcome);
+                self.note_order("grant", life, grant.span, grant.fence, &outcome);
             }
         }
         let Some(leading) = &mut self.leading else { return };
-        let state = link.map_or(LinkState::Lost(version), LinkState::Idle);
-        leading.links.insert(life.clone(), state);
+        if let Some(link) = link {
+            leading.links.give_back(life, link);
+        }
         let Some(planner) = leading.planners.get_mut(service) else { return };
         if planner.granted(life, results, version, now) {
             self.read_own(now);
@@ -300,7 +268,7 @@
         result: Result<Option<SmolStr>, Outcome>,
     ) {
         let outcome = format!("{:?}", result.as_ref().map(Option::is_some));
-        self.note_order("release", service, life, span, Fence::ZERO, &outcome);
+        self.note_order("released", life, span, Fence::ZERO, &outcome);
         let Some(leading) = &mut self.leading else { return };
         if let Some(planner) = leading.planners.get_mut(service) {
             planner.released(life, span, result);
@@ -376,13 +344,12 @@
         }
     }
 
-    pub(super) fn take_report(&mut self, report: Report, now: Tick) -> Reply {
-        self.take_load(&report, now);
+    pub(super) fn take_report(&mut self, report: &Report, now: Tick) -> Reply {
+        self.take_load(report, now);
         let resigning = self.is_turned_away(now);
         let leads = self.leading.is_some();
         if let Some(leading) = &mut self.leading {
-            let reported = Reported { incarnation: report.incarnation, at: now };
-            leading.reports.insert(report.vm.clone(), reported);
+            leading.reports.insert(report.vm.clone(), now);
         }
         let routing =
             self.routing.as_deref().filter(|routing| routing.version > report.routing).cloned();
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -19,11 +19,14 @@
 /// and a request takes a moment to arrive.
 const LEAVING_RESERVE: Duration = Duration::from_millis(1_150);
 
+/// The entries that a process assumes before it has read how many there are.
+const UNKNOWN_ENTRIES: usize = 32;
+
 impl State {
     /// Replaces the view with what is known now.
     pub(super) fn publish(&mut self, now: Tick) {
         self.dirty = false;
-        let mut view = View { entries: self.entries, ..View::default() };
+        let mut view = View { entries: self.sharers(), ..View::default() };
         let mut ready: HashMap<_, Vec<Arc<Target>>> = HashMap::new();
         for known in self.registry.all() {
             if self.registry.presence(known, now) == Presence::Ready {
@@ -52,6 +55,12 @@
         self.pool.retain_used();
     }
 
+    /// Returns how many entries share a limit. A process that knows too few of them would take too
+    /// much, so every entry that has a row counts, and a process without knowledge assumes many.
+    fn sharers(&self) -> usize {
+        if self.own_read { self.entries.max(self.members.len()) } else { UNKNOWN_ENTRIES }
+    }
+
     /// Tells whether a holder of keys may still get requests: one that is leaving may for a moment,
     /// while its keys are moved.
     fn may_serve(&self, known: &Known, now: Tick) -> bool {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -42,6 +42,13 @@
     whole: bool,
 }
 
+/// The sockets of the traffic thread.
+struct Listeners {
+    callers: std::net::TcpListener,
+    ready: std::net::TcpListener,
+    metrics: std::net::TcpListener,
+}
+
 /// Runs an entry until a signal stops it; then waits until nothing is in flight.
 ///
 /// # Errors
@@ -53,10 +60,12 @@
     let me =
         Process { vm: settings.vm.clone(), incarnation: Incarnation::from(rand::random::<u64>()) };
     let runtime = runtime()?;
-    let callers = bind("listen", settings.listen)?;
-    let ready = bind("ready_listen", settings.ready_listen)?;
+    let listeners = Listeners {
+        callers: bind("listen", settings.listen)?,
+        ready: bind("ready_listen", settings.ready_listen)?,
+        metrics: bind("metrics_listen", settings.metrics_listen)?,
+    };
     let peers = bind("peer_listen", settings.peer_listen)?;
-    let metrics = bind("metrics_listen", settings.metrics_listen)?;
     let shared = Shared::new(settings, journal);
     shared.journal.note(
         "started",
@@ -67,13 +76,12 @@
             version: env!("CARGO_PKG_VERSION"),
         },
     );
-    let (stop, stopped) = watch::channel(false);
     let seat = Seat { me, shared: Arc::clone(&shared), peers };
     let control = thread::Builder::new()
         .name("control".to_owned())
         .stack_size(STACK_BYTES)
         .spawn(move || control::run(seat))?;
-    let whole = runtime.block_on(traffic(&shared, callers, ready, metrics, file, stop, stopped))?;
+    let whole = runtime.block_on(traffic(&shared, listeners, file))?;
     shared.journal.note("stopped", &Stopped { whole });
     // The writer of the log has a moment for the last line.
     thread::sleep(Duration::from_millis(20));
@@ -95,13 +103,11 @@
 
 async fn traffic(
     shared: &Arc<Shared>,
-    callers: std::net::TcpListener,
-    ready: std::net::TcpListener,
-    metrics: std::net::TcpListener,
+    listeners: Listeners,
     file: PathBuf,
-    stop: watch::Sender<bool>,
-    stopped: watch::Receiver<bool>,
 ) -> Result<bool, Error> {
+    let Listeners { callers, ready, metrics } = listeners;
+    let (stop, stopped) = watch::channel(false);
     let callers = TcpListener::from_std(callers)?;
     let for_ready = Arc::clone(shared);
     tokio::spawn(wire::serve(TcpListener::from_std(ready)?, move |request| {
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -52,6 +52,13 @@
         self.entries = kept;
     }
 
+    /// Notes that a later run of a target may hold what was sent to an earlier one.
+    pub fn pass_on(&mut self, life: &Life, later: &Life) {
+        for entry in self.entries.iter_mut().filter(|entry| entry.life == *life) {
+            entry.life = later.clone();
+        }
+    }
+
     /// Notes that a run of a target has ended.
     pub fn end(&mut self, life: &Life) {
         self.entries.retain(|entry| entry.life != *life);
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -11,12 +11,14 @@
 
 pub mod balance;
 pub mod ledger;
+pub mod links;
 pub mod list;
 pub mod map;
 pub mod planner;
 
 pub use crate::{
     ledger::Ledger,
+    links::Links,
     list::{Listing, Registry},
     map::{Holding, Life, Map, Span},
     planner::{Action, Planner},
--- /dev/null
+++ b/crates/hold/src/links.rs
@@ -0,0 +1,52 @@
+//! The connections over which targets get grants.
+//!
+//! A connection that ended may mean that its target's process did. A grant over a new connection
+//! would then reach another run of the target. So a connection is never replaced silently: its end is
+//! reported once, as a failure, and the planner gives the target's keys a new fence before any grant
+//! goes out over a new connection.
+
+use {crate::map::Life, std::collections::HashMap};
+
+/// How the next grants reach a target.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Way<L> {
+    /// Over the connection that it was granted keys on before.
+    Open(L),
+    /// Over a new connection.
+    Fresh,
+    /// Not at all: the connection has ended.
+    Ended,
+}
+
+/// The connections to all runs of targets.
+#[derive(Debug)]
+pub struct Links<L> {
+    idle: HashMap<Life, L>,
+}
+
+impl<L> Default for Links<L> {
+    fn default() -> Self {
+        Self { idle: HashMap::new() }
+    }
+}
+
+impl<L> Links<L> {
+    /// Takes the connection to a target for use; `is_open` tells whether it still stands.
+    pub fn take(&mut self, life: &Life, is_open: impl FnOnce(&L) -> bool) -> Way<L> {
+        match self.idle.remove(life) {
+            Some(link) if is_open(&link) => Way::Open(link),
+            Some(_) => Way::Ended,
+            None => Way::Fresh,
+        }
+    }
+
+    /// Gives a connection back.
+    pub fn give_back(&mut self, life: &Life, link: L) {
+        self.idle.insert(life.clone(), link);
+    }
+
+    /// Drops the connections to runs that hold no keys.
+    pub fn retain(&mut self, holds: impl Fn(&Life) -> bool) {
+        self.idle.retain(|life, _| holds(life));
+    }
+}
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -2,7 +2,8 @@
 //!
 //! An entry can vanish from the list for two reasons that call for opposite answers: the target left
 //! or was lost, or the store was away and let entries lapse that it had no sign of life for. The
-//! registry excuses a missing entry for a short time after an outage that this process saw.
+//! registry excuses an entry that is missing right after an outage that this process saw, for a short
+//! time.
 
 use {
     crate::map::Life,
@@ -75,7 +76,15 @@
     /// When that entry was read.
     pub seen: Tick,
     left: Option<Tick>,
-    missing: Option<Tick>,
+    missing: Option<Missing>,
+}
+
+/// An entry that has vanished.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    since: Tick,
+    /// Until when an outage of the store before it is taken to be the reason.
+    excused_until: Tick,
 }
 
 impl Known {
@@ -116,9 +125,10 @@
 
     /// Notes that an entry was removed, and tells whether that is new.
     pub fn remove(&mut self, vm: &Vm, now: Tick) -> bool {
+        let excused_until = self.back_since.map_or(Tick::default(), |back| back.plus(RETURN));
         match self.targets.get_mut(vm) {
             Some(known) if known.missing.is_none() => {
-                known.missing = Some(now);
+                known.missing = Some(Missing { since: now, excused_until });
                 true
             }
             _ => false,
@@ -128,7 +138,11 @@
     /// Removes every target that a whole reading of the list does not show.
     pub fn retain(&mut self, listed: impl Fn(&Vm) -> bool, now: Tick) -> bool {
         let gone: Vec<Vm> = self.targets.keys().filter(|vm| !listed(vm)).cloned().collect();
-        gone.iter().fold(false, |changed, vm| self.remove(vm, now) || changed)
+        let mut changed = false;
+        for vm in &gone {
+            changed |= self.remove(vm, now);
+        }
+        changed
     }
 
     /// Notes whether the list could be read.
@@ -152,7 +166,7 @@
     /// Forgets targets that were lost long ago.
     pub fn expire(&mut self, now: Tick) {
         self.targets.retain(|_, known| {
-            known.missing.is_none_or(|missing| now.since(missing) < MEMORY)
+            known.missing.is_none_or(|missing| now.since(missing.since) < MEMORY)
         });
     }
 
@@ -187,7 +201,8 @@
     /// Tells whether a target can be used.
     #[must_use]
     pub fn presence(&self, known: &Known, now: Tick) -> Presence {
-        let missing = known.missing.filter(|_| !self.is_excused(now));
+        let missing = known.missing.filter(|missing| now >= missing.excused_until);
+        let missing = missing.map(|missing| missing.since.max(missing.excused_until));
         known.left.or(missing).map_or(Presence::Ready, Presence::Leaving)
     }
 
@@ -204,8 +219,4 @@
         };
         renewed || self.targets.values().any(reused)
     }
-
-    fn is_excused(&self, now: Tick) -> bool {
-        self.silent_since.is_some() || self.back_since.is_some_and(|back| now.since(back) < RETURN)
-    }
 }
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -188,6 +188,15 @@
         self.merge();
     }
 
+    /// Gives the holdings of one run of a target a new fence.
+    pub fn refence_holder(&mut self, life: &Life) {
+        let index = self.holders.iter().position(|holder| holder.life == *life);
+        let index = index.map(|index| index as u16);
+        for holding in self.holdings.iter_mut().filter(|holding| holding.holder == index) {
+            holding.fence = Fence::ZERO;
+        }
+    }
+
     fn index(&mut self, holder: Holder) -> u16 {
         let known = self.holders.iter().position(|known| known.life == holder.life);
         let at = known.unwrap_or_else(|| {
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -1,12 +1,14 @@
 //! Deciding who holds which keys of one service, and keeping the grants alive.
 //!
 //! The planner runs in the one entry that leads. It is told what happened and answers with
-//! [`Action`]s; it never waits. Three rules keep one holder for each key:
+//! [`Action`]s; it never waits. Four rules keep one holder for each key:
 //!
 //! 1. A grant goes out only when the [`Ledger`] shows no other run of a target that may hold one of
 //!    its keys.
 //! 2. What is granted stands in the row first, and the fence is the version of the row.
-//! 3. A new leader gives every holding a new fence. Until a target has answered to it, the former
+//! 3. A grant without an answer may be obeyed late, also after the target released its keys. Keys are
+//!    taken back only where a higher fence has been answered to since, or that grant has run out.
+//! 4. A new leader gives every holding a new fence before it sends any grant. Until a target has answered to it, the former
 //!    leader may still renew there, so the ledger counts what it might have granted at the latest.
 
 use {
@@ -14,7 +16,7 @@
         balance::{self, Candidate, Load},
         ledger::Ledger,
         list::{Known, Presence, Registry},
-        map::{Holder, Life, Map, Span},
+        map::{Holder, Holding, Life, Map, Span},
     },
     key::{Fence, Service, Version, clock::Tick},
     smol_str::SmolStr,
@@ -136,6 +138,14 @@
     step: Step,
 }
 
+/// A grant that was sent and not answered.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    span: Span,
+    fence: Fence,
+    until: Tick,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Contact {
     busy: bool,
@@ -143,12 +153,38 @@
     sent: Option<Tick>,
     /// The highest fence that the target has answered to, for each span.
     fences: BTreeMap<Span, Fence>,
+    /// The highest fence that was sent.
+    highest: Fence,
+    /// Only higher fences may be sent: an order failed, so that the run of the target is in doubt.
+    barrier: Fence,
+    /// Grants that may still be obeyed.
+    lost: Vec<Lost>,
     failures: u32,
     /// The version of the target's entry in the list when it last failed.
     failed_at: Version,
 }
 
 impl Contact {
+    /// Notes that the target has answered to a fence, which voids lower ones.
+    fn answer(&mut self, span: Span, fence: Fence) {
+        self.fences.retain(|known, _| !known.overlaps(span));
+        self.fences.insert(span, fence);
+        let lost = std::mem::take(&mut self.lost);
+        for grant in lost {
+            if grant.fence >= fence {
+                self.lost.push(grant);
+                continue;
+            }
+            let rest = grant.span.without(span).into_iter().flatten();
+            self.lost.extend(rest.map(|span| Lost { span, ..grant }));
+        }
+    }
+
+    /// Tells whether a grant without an answer may still be obeyed.
+    fn may_obey(&self, now: Tick) -> bool {
+        self.lost.iter().any(|grant| grant.until > now)
+    }
+
     /// Tells whether the target has answered to a fence for every key of a span.
     fn covers(&self, span: Span, fence: Fence) -> bool {
         self.fences.iter().any(|(known, seen)| {
@@ -169,12 +205,12 @@
     handovers: BTreeMap<Span, SmolStr>,
     /// The map that is being written.
     writing: Option<Map>,
+    /// Maps whose write had no answer and that the store may still take.
+    doubtful: Vec<Map>,
     /// Whether the row must be read again before anything else is written.
     unread: bool,
     /// Whether every holding has had a new fence since this process leads.
     refenced: bool,
-    /// The lowest fence that a former leader cannot have sent.
-    first_fence: Fence,
     load: Load,
     balanced: Tick,
 }
@@ -195,13 +231,13 @@
             service,
             config,
             refenced: map.version == Version::ZERO,
-            first_fence: Fence::ZERO,
             map,
             ledger,
             contacts: BTreeMap::new(),
             moves: Vec::new(),
             handovers: BTreeMap::new(),
             writing: None,
+            doubtful: Vec::new(),
             unread: false,
             load: Load::default(),
             balanced: now,
@@ -241,20 +277,25 @@
     }
 
     fn note_ends(&mut self, registry: &Registry) {
-        let ended: BTreeSet<Life> = self
-            .map
-            .holders
-            .iter()
-            .filter(|holder| registry.has_ended(&holder.life, holder.address))
-            .map(|holder| holder.life.clone())
-            .collect();
-        for life in ended {
-            self.ledger.end(&life);
+        for holder in &self.map.holders {
+            if !registry.has_ended(&holder.life, holder.address) {
+                continue;
+            }
+            // What was sent to the earlier run may have reached the later one.
+            match registry.get(&holder.life.vm).map(|known| known.listing.life()) {
+                Some(later) if later != holder.life => self.ledger.pass_on(&holder.life, &later),
+                _ => self.ledger.end(&holder.life),
+            }
         }
     }
 
     fn renewals(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
         let mut actions = Vec::new();
+        if !self.refenced {
+            // A former leader's fence must not reach a later run of a target, which this process
+            // could not tell from the earlier one.
+            return actions;
+        }
         for holder in self.map.holders.clone() {
             if registry.has_ended(&holder.life, holder.address) || !self.may_order(registry, &holder)
             {
@@ -265,10 +306,11 @@
                 continue;
             }
             let until = now.plus(self.config.order_timeout + self.config.longest());
+            let contact = self.contacts.entry(holder.life.clone()).or_default();
             for grant in &grants {
                 self.ledger.extend(&holder.life, grant.span, until);
+                contact.highest = contact.highest.max(grant.fence);
             }
-            let contact = self.contacts.entry(holder.life.clone()).or_default();
             contact.busy = true;
             contact.sent = Some(now);
             actions.push(Action::Grant { life: holder.life, address: holder.address, grants });
@@ -292,8 +334,9 @@
         let sent = contact.and_then(|contact| contact.sent);
         let due = sent.is_none_or(|sent| now.since(sent) >= self.config.renew);
         let mut grants = Vec::new();
-        for holding in self.map.held_by(life) {
-            for span in self.unmoved(holding.span) {
+        let barrier = contact.map_or(Fence::ZERO, |contact| contact.barrier);
+        for holding in self.map.held_by(life).filter(|holding| holding.fence > barrier) {
+            for span in self.kept(holding.span, life) {
                 if !due && contact.is_some_and(|contact| contact.covers(span, holding.fence)) {
                     continue;
                 }
@@ -306,10 +349,20 @@
         grants
     }
 
-    /// Returns the parts of a span that are not being moved.
-    fn unmoved(&self, span: Span) -> Vec<Span> {
-        self.moves.iter().fold(vec![span], |parts, moving| {
-            parts.into_iter().flat_map(|part| part.without(moving.span)).flatten().collect()
+    /// Returns the parts of a span that stay with their holder for now: those that are not being
+    /// moved, and that no write gives away that is under way or may still take effect. A successor
+    /// would rest on that row.
+    fn kept(&self, span: Span, life: &Life) -> Vec<Span> {
+        let moving = self.moves.iter().map(|moving| moving.span);
+        let writes = self.writing.iter().chain(&self.doubtful);
+        let given = writes.flat_map(|map| {
+            let foreign = |holding: &&Holding| {
+                map.holder(holding).is_none_or(|holder| holder.life != *life)
+            };
+            map.holdings.iter().filter(foreign).map(|holding| holding.span)
+        });
+        moving.chain(given).fold(vec![span], |parts, gone| {
+            parts.into_iter().flat_map(|part| part.without(gone)).flatten().collect()
         })
     }
 
@@ -328,18 +381,16 @@
         for (grant, outcome) in results {
             match outcome {
                 Outcome::Granted => {
-                    if self.refenced && grant.fence >= self.first_fence {
-                        self.ledger.replace(life, grant.span, until);
-                    } else {
-                        self.ledger.extend(life, grant.span, until);
-                    }
+                    self.ledger.replace(life, grant.span, until);
                     self.handovers.remove(&grant.span);
                     let contact = self.contacts.entry(life.clone()).or_default();
-                    contact.fences.retain(|span, _| !span.overlaps(grant.span));
-                    contact.fences.insert(grant.span, grant.fence);
+                    contact.answer(grant.span, grant.fence);
                 }
                 Outcome::Lost => {
                     self.ledger.extend(life, grant.span, until);
+                    let contact = self.contacts.entry(life.clone()).or_default();
+                    contact.lost.retain(|grant| grant.until > now);
+                    contact.lost.push(Lost { span: grant.span, fence: grant.fence, until });
                     failed = true;
                 }
                 Outcome::Unsent => failed = true,
@@ -352,6 +403,7 @@
         if failed {
             contact.failures += 1;
             contact.failed_at = version;
+            contact.barrier = contact.highest;
         } else {
             contact.failures = 0;
         }
@@ -385,13 +437,7 @@
     fn departures(&self, registry: &Registry, now: Tick) -> Vec<Move> {
         let mut moves = Vec::new();
         for holder in &self.map.holders {
-            let leaving = match registry.get(&holder.life.vm) {
-                Some(known) if known.listing.life() == holder.life => {
-                    matches!(registry.presence(known, now), Presence::Leaving(_))
-                }
-                _ => false,
-            };
-            if !leaving || !self.has_answered(&holder.life) {
+            if !is_leaving(registry, holder, now) || !self.can_release(&holder.life, now) {
                 continue;
             }
             for holding in self.map.held_by(&holder.life) {
@@ -406,7 +452,14 @@
     }
 
     /// Tells whether keys can be taken from a target: it has answered to its present fences, so that
-    /// no former leader can renew there, and no grant is on its way that could overtake a release.
+    /// no former leader can renew there, and no grant is on its way that could overtake a release or
+    /// be obeyed after it.
+    fn can_release(&self, life: &Life, now: Tick) -> bool {
+        self.has_answered(life)
+            && self.contacts.get(life).is_some_and(|contact| !contact.may_obey(now))
+    }
+
+    /// Tells whether a target has answered to all its present fences.
     fn has_answered(&self, life: &Life) -> bool {
         let Some(contact) = self.contacts.get(life).filter(|contact| !contact.busy) else {
             return false;
@@ -426,7 +479,7 @@
             .ready(registry, now)
             .filter(|known| {
                 let life = known.listing.life();
-                self.has_answered(&life)
+                self.can_release(&life, now)
                     || (self.map.held_by(&life).next().is_none() && known.listing.cold_ms == 0)
             })
             .map(|known| Candidate { life: known.listing.life(), slots: known.listing.slots })
@@ -482,6 +535,7 @@
         }
         let mut changed = !self.refenced;
         if self.refenced {
+            changed |= self.renew_fences(registry, &mut map);
             // Moves end together, so that one write carries all of them.
             let waits = self.moves.iter().any(|moving| moving.step == Step::Releasing);
             let departed = self.moves.iter().any(|moving| moving.to.is_none());
@@ -500,13 +554,38 @@
             }
             changed |= self.place_free_keys(registry, &mut map, now);
         }
-        if !changed || map == self.map {
+        // Another write makes the condition of a doubtful one false.
+        let supersedes = !self.doubtful.is_empty();
+        if !supersedes && (!changed || map == self.map) {
             return None;
         }
         self.writing = Some(map.clone());
         Some(Action::Write(map))
     }
 
+    /// Gives new fences to targets to which an order failed and that have shown in the list since
+    /// that they live. Whichever run answers to the new fence, earlier grants are void there.
+    fn renew_fences(&self, registry: &Registry, map: &mut Map) -> bool {
+        let mut changed = false;
+        for holder in &self.map.holders {
+            let Some(contact) = self.contacts.get(&holder.life).filter(|contact| !contact.busy)
+            else {
+                continue;
+            };
+            let barred =
+                self.map.held_by(&holder.life).any(|holding| holding.fence <= contact.barrier);
+            let known = registry.get(&holder.life.vm);
+            let lives = known.is_some_and(|known| {
+                known.version > contact.failed_at && known.listing.life() == holder.life
+            });
+            if barred && lives {
+                map.refence_holder(&holder.life);
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Gives keys that nobody can hold any more to targets that are ready.
     fn place_free_keys(&self, registry: &Registry, map: &mut Map, now: Tick) -> bool {
         let free: Vec<Span> = self
@@ -515,7 +594,8 @@
             .iter()
             .filter(|holding| {
                 let moving = self.moves.iter().any(|moving| moving.span.overlaps(holding.span));
-                let held = self.ledger.is_held_by_another(None, holding.span, now);
+                let later = self.later_run(registry, holding);
+                let held = self.ledger.is_held_by_another(later.as_ref(), holding.span, now);
                 let usable = self.map.holder(holding).is_some_and(|holder| {
                     let known = registry.get(&holder.life.vm);
                     known.is_some_and(|known| {
@@ -532,7 +612,11 @@
         }
         let mut changed = false;
         for span in free {
-            if let Some(to) = self.receiver(registry, None, map, span, now) {
+            let to = self.receiver(registry, None, map, span, now);
+            let to = to.filter(|to| {
+                !self.ledger.is_held_by_another(Some(&to.life), span, now)
+            });
+            if let Some(to) = to {
                 map.assign(span, Some(to));
                 changed = true;
             }
@@ -540,6 +624,13 @@
         changed
     }
 
+    /// Returns the later run of a holder that started anew under the same name.
+    fn later_run(&self, registry: &Registry, holding: &Holding) -> Option<Life> {
+        let holder = self.map.holder(holding)?;
+        let known = registry.get(&holder.life.vm)?;
+        (known.listing.born > holder.life.born).then(|| known.listing.life())
+    }
+
     fn place_all(&self, registry: &Registry, map: &mut Map, now: Tick) -> bool {
         let ready: Vec<Holder> = self.ready(registry, now).map(holder).collect();
         if ready.is_empty() {
@@ -607,7 +698,10 @@
                 self.settle(map);
             }
             Written::Refused => {}
-            Written::Unknown => self.unread = true,
+            Written::Unknown => {
+                self.doubtful.push(map);
+                self.unread = true;
+            }
         }
     }
 
@@ -627,21 +721,25 @@
     }
 
     fn settle(&mut self, map: Map) {
-        if !self.refenced {
-            let fences = map.holdings.iter().map(|holding| holding.fence);
-            self.first_fence = fences.min().unwrap_or_default();
-            self.refenced = self.first_fence > self.newest_fence();
-        }
+        let oldest = map.holdings.iter().map(|holding| holding.fence).min().unwrap_or_default();
+        self.refenced |= oldest > self.newest_fence();
         self.moves.retain(|moving| {
             let holder = map.holding(moving.span.first).and_then(|holding| map.holder(holding));
             holder.is_some_and(|holder| holder.life == moving.from)
         });
         let lives: BTreeSet<&Life> = map.holders.iter().map(|holder| &holder.life).collect();
         self.contacts.retain(|life, contact| contact.busy || lives.contains(life));
+        self.doubtful.clear();
         self.map = map;
     }
 }
 
+fn is_leaving(registry: &Registry, holder: &Holder, now: Tick) -> bool {
+    registry.get(&holder.life.vm).is_some_and(|known| {
+        known.listing.life() == holder.life && registry.presence(known, now) != Presence::Ready
+    })
+}
+
 fn holder(known: &Known) -> Holder {
     Holder {
         life: known.listing.life(),
--- /dev/null
+++ b/crates/hold/tests/sim/mod.rs
@@ -0,0 +1,537 @@
+//! Targets, a store and leaders in virtual time, with faults drawn from a seed.
+
+pub mod target;
+
+use {
+    hold::{
+        Action, Life, Links, Listing, Map, Planner, Registry, Span,
+        links::Way,
+        list::State,
+        planner::{Config, Grant, Outcome, Written},
+    },
+    key::{Service, Version, Vm, Zone, clock::Tick},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    smol_str::SmolStr,
+    std::{collections::BTreeMap, time::Duration},
+    target::Target,
+};
+
+pub const HOLD_MS: u64 = 4_000;
+pub const RIGHT_MS: u64 = 6_000;
+const ORDER_TIMEOUT_MS: u64 = 400;
+const RELEASE_TIMEOUT_MS: u64 = 2_000;
+const TICK_MS: u64 = 100;
+const BEAT_MS: u64 = 870;
+const CUT_TOGETHER_MS: u64 = 15_000;
+const LAPSE_MS: u64 = 3 * BEAT_MS;
+const CONFIRM_MS: u64 = 1_000;
+
+/// The faults of one run, each as a chance for each order, write or second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub order_lost: f64,
+    pub answer_lost: f64,
+    pub order_late: f64,
+    pub write_lost: f64,
+    pub write_late: f64,
+    pub crash: f64,
+    pub unlisted: f64,
+    pub leader_crash: f64,
+    pub leader_cut: f64,
+    pub leader_pause: f64,
+    /// The part of cuts in which a target stays with the leader that is cut off.
+    pub cut_with_target: f64,
+}
+
+/// What the checks of a mechanism can be switched to, to see that a run notices.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mutation {
+    /// The leader's right is not checked before it orders.
+    pub eternal_right: bool,
+    /// A connection that ended is replaced silently.
+    pub reconnects: bool,
+}
+
+fn at(ms: u64) -> Tick {
+    Tick::from(ms * 1_000 + 1_000_000)
+}
+
+fn config() -> Config {
+    Config {
+        hold: Duration::from_millis(HOLD_MS),
+        renew: Duration::from_millis(1_000),
+        order_timeout: Duration::from_millis(ORDER_TIMEOUT_MS),
+        margin: Duration::from_millis(300),
+        right: Duration::from_millis(RIGHT_MS),
+    }
+}
+
+enum Event {
+    Tick(usize),
+    Beat(usize),
+    Fault,
+    Granting { leader: usize, vm: usize, life: Life, link: u64, grants: Vec<Grant>, done: Vec<(Grant, Outcome)> },
+    Apply { vm: usize, run: u64, grant: Grant, arrived: u64 },
+    Granted { leader: usize, life: Life, results: Vec<(Grant, Outcome)>, link: Option<u64> },
+    Releasing { leader: usize, vm: usize, life: Life, span: Span },
+    Released { leader: usize, life: Life, span: Span, result: Result<Option<SmolStr>, Outcome> },
+    Write { leader: usize, lead: u64, map: Map, answer: bool },
+    Written { leader: usize, result: Written },
+    Back(usize),
+    /// The store has had no sign of life under a name for a while.
+    Lapse(Vm),
+}
+
+struct Leader {
+    term: u64,
+    planner: Planner,
+    links: Links<u64>,
+    confirmed: u64,
+    cut_until: u64,
+    paused_until: u64,
+    /// A target that this leader cannot reach, and until when.
+    blind: (usize, u64),
+    /// The list as it was when this leader was cut off.
+    last_list: Registry,
+    alive: bool,
+}
+
+/// One run.
+pub struct World {
+    now: u64,
+    rng: StdRng,
+    faults: Faults,
+    mutation: Mutation,
+    traced: bool,
+    queue: BTreeMap<(u64, u64), Event>,
+    order: u64,
+    targets: Vec<Target>,
+    registry: Registry,
+    row: Option<(Vec<u8>, u64)>,
+    lead: u64,
+    version: u64,
+    leaders: Vec<Leader>,
+    pub overlaps: Vec<String>,
+    pub stale: Vec<String>,
+    pub moves: usize,
+    pub served_ms: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults, mutation: Mutation) -> Self {
+        let mut world = Self {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            faults,
+            mutation,
+            traced: std::env::var_os("ALMONDWORKS_TRACE").is_some(),
+            queue: BTreeMap::new(),
+            order: 0,
+            targets: (0..6).map(Target::new).collect(),
+            registry: Registry::default(),
+            row: None,
+            lead: 0,
+            version: 10,
+            leaders: Vec::new(),
+            overlaps: Vec::new(),
+            stale: Vec::new(),
+            moves: 0,
+            served_ms: 0,
+        };
+        for vm in 0..world.targets.len() {
+            world.beat(vm);
+            world.push(BEAT_MS, Event::Beat(vm));
+        }
+        world.elect();
+        world.push(500, Event::Fault);
+        world
+    }
+
+    /// Plays until `end`, in milliseconds, and then some time without faults.
+    pub fn play(&mut self, end: u64, calm: u64) {
+        while let Some(((at, order), _)) = self.queue.first_key_value() {
+            let key = (*at, *order);
+            if key.0 > end + calm {
+                return;
+            }
+            if key.0 > end {
+                self.faults = Faults::default();
+            }
+            self.now = key.0;
+            if let Some(event) = self.queue.remove(&key) {
+                self.take(event);
+            }
+            self.check();
+        }
+    }
+
+    /// Returns how many keys have a holder that works on them now.
+    pub fn held(&self) -> u32 {
+        let spans = |target: &Target| target.spans(self.now).map(Span::width).sum::<u32>();
+        self.targets.iter().map(spans).sum()
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now + after, self.order), event);
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    /// Prints what happens where a person looks into one seed.
+    fn trace(&self, text: impl FnOnce() -> String) {
+        if self.traced {
+            println!("{} ms: {}", self.now, text());
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Tick(leader) => self.tick(leader),
+            Event::Beat(vm) => {
+                self.beat(vm);
+                self.push(BEAT_MS, Event::Beat(vm));
+            }
+            Event::Fault => self.fault(),
+            Event::Granting { leader, vm, life, link, grants, done } => {
+                self.granting(leader, vm, life, link, grants, done);
+            }
+            Event::Apply { vm, run, grant, arrived } => {
+                let target = &mut self.targets[vm];
+                if target.run == run && target.alive {
+                    target.apply(&grant, arrived, HOLD_MS, self.now);
+                }
+            }
+            Event::Granted { leader, life, results, link } => {
+                let now = at(self.now);
+                self.trace(|| format!("leader {leader} granted {} {results:?}", life.vm));
+                let listed = self.listed(&life);
+                let leader = &mut self.leaders[leader];
+                if let Some(link) = link {
+                    leader.links.give_back(&life, link);
+                }
+                leader.planner.granted(&life, &results, listed, now);
+            }
+            Event::Releasing { leader, vm, life, span } => self.releasing(leader, vm, life, span),
+            Event::Released { leader, life, span, result } => {
+                self.trace(|| format!("leader {leader} released {} {span:?} {result:?}", life.vm));
+                self.moves += usize::from(result.is_ok());
+                self.leaders[leader].planner.released(&life, span, result);
+            }
+            Event::Write { leader, lead, map, answer } => self.write(leader, lead, &map, answer),
+            Event::Written { leader, result } => {
+                self.leaders[leader].planner.written(result);
+                self.read_row(leader);
+            }
+            Event::Lapse(name) => {
+                let lives = |target: &Target| target.alive && target.address_of == name;
+                if !self.targets.iter().any(lives) {
+                    self.registry.remove(&name, at(self.now));
+                }
+            }
+            Event::Back(vm) => {
+                self.trace(|| format!("target {vm} starts"));
+                let same = self.rng.random_bool(0.5);
+                self.targets[vm].start(same, self.now);
+            }
+        }
+    }
+
+    fn listed(&self, life: &Life) -> Version {
+        self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version)
+    }
+
+    fn beat(&mut self, vm: usize) {
+        let target = &self.targets[vm];
+        if !target.alive || target.unlisted_until > self.now {
+            return;
+        }
+        self.version += 1;
+        let listing = Listing {
+            vm: target.name(),
+            born: target.born,
+            service: Service::from("keyed"),
+            address: ([10, 0, 0, vm as u8 + 1], 80).into(),
+            zone: Zone::from("a"),
+            slots: 2,
+            state: State::Ready,
+            cold_ms: 0,
+        };
+        self.registry.list(listing, Version::from(self.version), at(self.now));
+    }
+
+    fn elect(&mut self) {
+        self.version += 1;
+        self.lead = self.version;
+        let map = self.row.as_ref().map(|(bytes, version)| {
+            Map::parse(bytes, Version::from(*version)).expect("a whole row")
+        });
+        let planner = Planner::new(Service::from("keyed"), config(), map, at(self.now));
+        self.leaders.push(Leader {
+            term: self.lead,
+            planner,
+            links: Links::default(),
+            confirmed: self.now,
+            cut_until: 0,
+            paused_until: 0,
+            blind: (0, 0),
+            last_list: Registry::default(),
+            alive: true,
+        });
+        let leader = self.leaders.len() - 1;
+        self.push(10, Event::Tick(leader));
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        let leader = &mut self.leaders[index];
+        if !leader.alive {
+            return;
+        }
+        if leader.paused_until > now {
+            let wait = leader.paused_until - now;
+            self.push(wait, Event::Tick(index));
+            return;
+        }
+        if leader.cut_until <= now && now - leader.confirmed >= CONFIRM_MS {
+            if leader.term != self.lead {
+                leader.alive = false;
+                return;
+            }
+            leader.confirmed = now;
+            self.read_row(index);
+        }
+        let eternal = self.mutation.eternal_right;
+        let leader = &mut self.leaders[index];
+        if now - leader.confirmed < RIGHT_MS || eternal {
+            for key in [100_u16, 101, 30_000] {
+                leader.planner.load().add(key, 3);
+            }
+            let list = if leader.cut_until > now { &leader.last_list } else { &self.registry };
+            let actions = leader.planner.step(list, at(now));
+            for action in actions {
+                self.carry_out(index, action);
+            }
+        }
+        self.push(TICK_MS, Event::Tick(index));
+    }
+
+    fn target(&self, life: &Life) -> usize {
+        self.targets.iter().position(|target| target.address_of == life.vm).unwrap_or_else(|| {
+            self.targets.iter().position(|target| target.former.contains(&life.vm)).expect("known")
+        })
+    }
+
+    fn carry_out(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Grant { life, grants, .. } => {
+                let vm = self.target(&life);
+                let listed = self.listed(&life);
+                let run = self.targets[vm].run;
+                let reconnects = self.mutation.reconnects;
+                let blind = self.leaders[index].blind;
+                let alive = self.targets[vm].alive && (blind.0 != vm || blind.1 <= self.now);
+                let leader = &mut self.leaders[index];
+                let mut way = leader.links.take(&life, |link| *link == run);
+                if reconnects && way == Way::Ended {
+                    way = Way::Fresh;
+                }
+                let link = match way {
+                    Way::Open(link) => Some(link),
+                    // A new connection asks for the target by name.
+                    Way::Fresh if alive && self.targets[vm].address_of == life.vm => Some(run),
+                    Way::Fresh => None,
+                    Way::Ended => {
+                        let unsent: Vec<_> =
+                            grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
+                        leader.planner.granted(&life, &unsent, listed, at(self.now));
+                        return;
+                    }
+                };
+                if let Some(link) = link {
+                    let done = Vec::new();
+                    let granting =
+                        Event::Granting { leader: index, vm, life, link, grants, done };
+                    self.push(1, granting);
+                } else {
+                    let results = grants.into_iter().map(|grant| (grant, Outcome::Unsent));
+                    let results = results.collect();
+                    self.push(5, Event::Granted { leader: index, life, results, link: None });
+                }
+            }
+            Action::Release { life, span, .. } => {
+                let vm = self.target(&life);
+                self.push(1, Event::Releasing { leader: index, vm, life, span });
+            }
+            Action::Write(map) => {
+                let lead = self.leaders[index].term;
+                let cut = self.leaders[index].cut_until > self.now;
+                let lost = self.chance(self.faults.write_lost);
+                let late = self.chance(self.faults.write_late);
+                let event = |answer| Event::Write { leader: index, lead, map: map.clone(), answer };
+                if cut || lost {
+                    if lost && !cut {
+                        let delay = if late { self.rng.random_range(1_000..6_000) } else { 4 };
+                        self.push(delay, event(false));
+                    }
+                    let result = Written::Unknown;
+                    self.push(1_200, Event::Written { leader: index, result });
+                } else {
+                    self.push(4, event(true));
+                }
+            }
+        }
+    }
+
+    fn granting(
+        &mut self,
+        leader: usize,
+        vm: usize,
+        life: Life,
+        link: u64,
+        mut grants: Vec<Grant>,
+        mut done: Vec<(Grant, Outcome)>,
+    ) {
+        if grants.is_empty() {
+            let link = Some(link);
+            self.push(1, Event::Granted { leader, life, results: done, link });
+            return;
+        }
+        let paused = self.leaders[leader].paused_until;
+        if paused > self.now {
+            let wait = paused - self.now;
+            self.push(wait, Event::Granting { leader, vm, life, link, grants, done });
+            return;
+        }
+        let grant = grants.remove(0);
+        let broken = !self.targets[vm].alive || self.targets[vm].run != link;
+        let lost = broken || self.chance(self.faults.order_lost);
+        let unanswered = self.chance(self.faults.answer_lost);
+        let late = self.chance(self.faults.order_late);
+        let mut outcome = Outcome::Granted;
+        if !lost {
+            if late {
+                let after = self.rng.random_range(500..6_000);
+                let run = self.targets[vm].run;
+                let arrived = self.now;
+                self.push(after, Event::Apply { vm, run, grant: grant.clone(), arrived });
+            } else if !self.targets[vm].apply(&grant, self.now, HOLD_MS, self.now) {
+                outcome = Outcome::Fenced;
+            }
+        }
+        if lost || unanswered || late {
+            done.push((grant, Outcome::Lost));
+            done.extend(grants.into_iter().map(|grant| (grant, Outcome::Unsent)));
+            let results = done;
+            self.push(ORDER_TIMEOUT_MS, Event::Granted { leader, life, results, link: None });
+            return;
+        }
+        done.push((grant, outcome));
+        self.push(2, Event::Granting { leader, vm, life, link, grants, done });
+    }
+
+    fn releasing(&mut self, leader: usize, vm: usize, life: Life, span: Span) {
+        let blind = self.leaders[leader].blind;
+        let alive = self.targets[vm].alive
+            && self.targets[vm].address_of == life.vm
+            && (blind.0 != vm || blind.1 <= self.now);
+        let lost = !alive || self.chance(self.faults.order_lost);
+        let unanswered = self.chance(self.faults.answer_lost);
+        let mut result = Err(Outcome::Lost);
+        let mut after = RELEASE_TIMEOUT_MS;
+        if !lost {
+            self.targets[vm].release(span);
+            if !unanswered {
+                result = Ok(Some(SmolStr::from("warm")));
+                after = self.rng.random_range(2..300);
+            }
+        }
+        self.push(after, Event::Released { leader, life, span, result });
+    }
+
+    fn write(&mut self, leader: usize, lead: u64, map: &Map, answer: bool) {
+        self.trace(|| format!("leader {leader} writes {map:?}"));
+        let current = self.row.as_ref().map_or(0, |(_, version)| *version);
+        let holds = lead == self.lead && map.version.get() == current;
+        let mut result = Written::Unknown;
+        if holds {
+            self.version += 1;
+            self.row = Some((map.to_bytes(), self.version));
+            result = Written::Done(Version::from(self.version));
+        }
+        if answer {
+            self.push(2, Event::Written { leader, result });
+        }
+    }
+
+    fn read_row(&mut self, index: usize) {
+        let leader = &mut self.leaders[index];
+        if leader.cut_until > self.now || leader.term != self.lead {
+            return;
+        }
+        if let Some((bytes, version)) = &self.row {
+            let map = Map::parse(bytes, Version::from(*version)).expect("a whole row");
+            leader.planner.read(map);
+        }
+    }
+
+    fn fault(&mut self) {
+        self.push(500, Event::Fault);
+        let faults = self.faults;
+        for vm in 0..self.targets.len() {
+            if self.targets[vm].alive && self.chance(faults.crash / 2.0) {
+                self.trace(|| format!("target {vm} crashes"));
+                self.targets[vm].crash();
+                let name = self.targets[vm].name();
+                self.push(LAPSE_MS, Event::Lapse(name));
+                let after = self.rng.random_range(50..5_000);
+                self.push(after, Event::Back(vm));
+            }
+            if self.chance(faults.unlisted / 2.0) {
+                self.targets[vm].unlisted_until = self.now + self.rng.random_range(2_000..8_000);
+                let name = self.targets[vm].name();
+                self.registry.remove(&name, at(self.now));
+            }
+        }
+        let last = self.leaders.len() - 1;
+        let crash = self.chance(faults.leader_crash / 2.0);
+        let cut = self.chance(faults.leader_cut / 2.0);
+        let pause = self.chance(faults.leader_pause / 2.0);
+        let span = self.rng.random_range(1_000..12_000);
+        if crash {
+            self.leaders[last].alive = false;
+        } else if cut {
+            self.leaders[last].cut_until = self.now + span;
+            self.leaders[last].last_list = self.registry.clone();
+        } else if pause {
+            self.leaders[last].paused_until = self.now + span;
+        }
+        let together = cut && self.chance(faults.cut_with_target);
+        if crash || cut || pause {
+            self.trace(|| format!("leader {last} crash {crash} cut {cut} pause {pause} {span} ms"));
+            self.elect();
+        }
+        if together {
+            let vm = self.rng.random_range(0..self.targets.len());
+            let until = self.now + CUT_TOGETHER_MS;
+            self.leaders[last].cut_until = until;
+            self.leaders[last + 1].blind = (vm, until);
+            self.targets[vm].unlisted_until = until;
+            let name = self.targets[vm].name();
+            self.registry.remove(&name, at(self.now));
+        }
+    }
+
+    fn check(&mut self) {
+        for a in 0..self.targets.len() {
+            for b in a + 1..self.targets.len() {
+                if let Some(text) = self.targets[a].conflict(&self.targets[b], self.now) {
+                    self.overlaps.push(format!("{} ms: {text}", self.now));
+                }
+            }
+            self.stale.extend(self.targets[a].stale.drain(..));
+        }
+    }
+}
