Ask the store anew for what it was asked during an outage

Ruled out: peers' knowledge (the leader itself lacked the version) and the feed's history (no 410). Change: the entry that sees the list of targets readable again asks all waiting questions anew; connections for small exchanges give up bytes that stay unacknowledged.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -2,10 +2,13 @@
 
 use {
     crate::control::input::Input,
-    key::clock::Tick,
-    platform::store::{Error, Store, Table},
+    key::{Version, clock::Tick},
+    platform::store::{Error, Rows, Store, Table},
     std::time::Duration,
-    tokio::{sync::mpsc::Sender, time},
+    tokio::{
+        sync::{mpsc::Sender, watch},
+        time,
+    },
 };
 
 /// The pause after a call that got no answer.
@@ -15,8 +18,31 @@
 /// time, so that waiting for a change would mean a call for each sign of life.
 const LIST_EVERY: Duration = Duration::from_millis(800);
 
+/// Counts the outages of the store that have ended. A question that was waiting during one may never
+/// be answered, so each change asks all of them anew.
+pub(crate) type Outages = watch::Receiver<u64>;
+
+/// Waits for changes of a table, asking anew after an outage.
+async fn changes(
+    store: &Store,
+    table: Table,
+    version: Version,
+    outages: &mut Outages,
+) -> Result<Rows, Error> {
+    loop {
+        tokio::select! {
+            rows = store.watch(table, version) => return rows,
+            changed = outages.changed() => {
+                if changed.is_err() {
+                    return Err(Error::Unavailable);
+                }
+            }
+        }
+    }
+}
+
 /// Follows the operators' rows, for ever.
-pub(crate) async fn follow_operator(store: Store, inputs: Sender<Input>) {
+pub(crate) async fn follow_operator(store: Store, inputs: Sender<Input>, mut outages: Outages) {
     loop {
         let Ok(rows) = store.read(Table::Operator).await else {
             time::sleep(PAUSE).await;
@@ -25,7 +51,7 @@
         let mut version = rows.version;
         send(&inputs, Input::Operator(rows.rows)).await;
         loop {
-            match store.watch(Table::Operator, version).await {
+            match changes(&store, Table::Operator, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
                     send(&inputs, Input::Operator(rows.rows)).await;
@@ -38,11 +64,10 @@
 }
 
 /// Follows the product's own rows, for ever.
-pub(crate) async fn follow_own(store: Store, inputs: Sender<Input>) {
+pub(crate) async fn follow_own(store: Store, inputs: Sender<Input>, mut outages: Outages) {
     loop {
         let asked = Tick::now();
         let Ok(rows) = store.read(Table::Own).await else {
-            send(&inputs, Input::OwnSilent).await;
             time::sleep(PAUSE).await;
             continue;
         };
@@ -50,40 +75,57 @@
         send(&inputs, Input::Own { rows, whole: true, asked }).await;
         loop {
             let asked = Tick::now();
-            match store.watch(Table::Own, version).await {
+            match changes(&store, Table::Own, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
                     send(&inputs, Input::Own { rows, whole: false, asked }).await;
                 }
                 Err(Error::Forgotten) => break,
-                Err(Error::Unavailable) => {
-                    send(&inputs, Input::OwnSilent).await;
-                    time::sleep(PAUSE).await;
-                }
+                Err(Error::Unavailable) => time::sleep(PAUSE).await,
             }
         }
     }
 }
 
-/// Follows the list of targets, for ever.
-pub(crate) async fn follow_targets(store: Store, inputs: Sender<Input>) {
+/// Follows the list of targets, for ever, and counts the outages that this shows.
+pub(crate) async fn follow_targets(
+    store: Store,
+    inputs: Sender<Input>,
+    ended: watch::Sender<u64>,
+) {
+    let mut silent = false;
+    let mut answered = |answer: bool| {
+        if answer && silent {
+            ended.send_modify(|outages| *outages += 1);
+        }
+        silent = !answer;
+    };
     loop {
         let Ok(rows) = store.read(Table::Targets).await else {
+            answered(false);
             send(&inputs, Input::TargetsSilent).await;
             time::sleep(PAUSE).await;
             continue;
         };
+        answered(true);
         let mut version = rows.version;
         send(&inputs, Input::Targets { rows: rows.rows, whole: true }).await;
+        let mut pause = LIST_EVERY;
         loop {
-            time::sleep(LIST_EVERY).await;
+            time::sleep(pause).await;
             match store.changes(Table::Targets, version).await {
                 Ok(rows) => {
+                    answered(true);
+                    pause = LIST_EVERY;
                     version = rows.version;
                     send(&inputs, Input::Targets { rows: rows.rows, whole: false }).await;
                 }
                 Err(Error::Forgotten) => break,
-                Err(Error::Unavailable) => send(&inputs, Input::TargetsSilent).await,
+                Err(Error::Unavailable) => {
+                    answered(false);
+                    pause = PAUSE;
+                    send(&inputs, Input::TargetsSilent).await;
+                }
             }
         }
     }
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -31,8 +31,6 @@
     TargetsSilent,
     /// The product's own rows have changed, or all of them were read, asked for at some moment.
     Own { rows: Rows, whole: bool, asked: Tick },
-    /// The product's own rows could not be read.
-    OwnSilent,
     /// The result of an attempt to lead.
     Candidacy { lead: Lead, commit: Commit },
     /// The peers' votes on whether the leader is silent.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -17,7 +17,7 @@
     std::{net::TcpListener, sync::Arc, time::Duration},
     tokio::{
         runtime::Builder,
-        sync::mpsc,
+        sync::{mpsc, watch},
         task::LocalSet,
         time::{self, MissedTickBehavior},
     },
@@ -30,7 +30,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// The time one call of the store may take.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// The time for which the store holds a question back until something has changed.
 const STORE_WAIT: Duration = Duration::from_secs(20);
@@ -54,9 +54,11 @@
     let store = Store::new(seat.shared.settings.store, STORE_TIMEOUT, STORE_WAIT);
     let listener = tokio::net::TcpListener::from_std(seat.peers)?;
     tokio::task::spawn_local(peers::serve(listener, sender.clone()));
-    tokio::task::spawn_local(feeds::follow_operator(store.clone(), sender.clone()));
-    tokio::task::spawn_local(feeds::follow_targets(store.clone(), sender.clone()));
-    tokio::task::spawn_local(feeds::follow_own(store.clone(), sender.clone()));
+    let (ended, outages) = watch::channel(0);
+    let feed = (store.clone(), sender.clone());
+    tokio::task::spawn_local(feeds::follow_operator(feed.0.clone(), feed.1.clone(), outages.clone()));
+    tokio::task::spawn_local(feeds::follow_own(feed.0.clone(), feed.1.clone(), outages));
+    tokio::task::spawn_local(feeds::follow_targets(feed.0, feed.1, ended));
     let mut state = State::new(seat.me, seat.shared, store, sender);
     state.join();
     let mut ticks = time::interval(TICK);
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -79,7 +79,6 @@
     standing: bool,
     leading: Option<Leading>,
     entries: usize,
-    store_heard: Tick,
     store_up: bool,
     reported: Tick,
     reporting: bool,
@@ -116,7 +115,6 @@
             standing: false,
             leading: None,
             entries: 1,
-            store_heard: now,
             store_up: true,
             reported: now,
             reporting: false,
@@ -149,10 +147,8 @@
             Input::Targets { rows, whole } => self.take_targets(rows, whole, now),
             Input::TargetsSilent => self.registry.note_reading(false, now),
             Input::Own { rows, whole, asked } => {
-                self.note_store(asked, now);
                 self.take_own(&rows.rows, whole, asked, now);
             }
-            Input::OwnSilent => {}
             Input::Candidacy { lead, commit } => self.take_candidacy(lead, commit, now),
             Input::Polled { silent, heard } => {
                 self.election.polled(silent, heard, self.entries, now);
@@ -186,7 +182,7 @@
     }
 
     fn tick(&mut self, now: Tick) {
-        self.note_silence(now);
+        self.note_store(now);
         self.registry.expire(now);
         while self.strikes.front().is_some_and(|strike| now.since(strike.since) > STRIKE_MEMORY) {
             self.strikes.pop_front();
@@ -200,18 +196,11 @@
         self.dirty |= self.has_leaving(now);
     }
 
-    fn note_store(&mut self, asked: Tick, now: Tick) {
-        self.store_heard = self.store_heard.max(asked);
-        if !self.store_up && now.since(self.store_heard) < STORE_SILENCE {
-            self.store_up = true;
-            self.believe("store", Version::ZERO, "answers again");
-        }
-    }
-
-    fn note_silence(&mut self, now: Tick) {
-        if self.store_up && self.is_turned_away(now) {
-            self.store_up = false;
-            self.believe("store", Version::ZERO, "silent");
+    fn note_store(&mut self, now: Tick) {
+        let up = !self.is_turned_away(now);
+        if up != self.store_up {
+            self.store_up = up;
+            self.believe("store", Version::ZERO, if up { "answers again" } else { "silent" });
         }
     }
 
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -119,11 +119,10 @@
         leading.confirming = Some(now);
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
-            let input = match store.read(Table::Own).await {
-                Ok(rows) => Input::Own { rows, whole: true, asked: now },
-                Err(_) => Input::OwnSilent,
-            };
-            send(&inputs, input).await;
+            // Without an answer the leader asks again before long.
+            if let Ok(rows) = store.read(Table::Own).await {
+                send(&inputs, Input::Own { rows, whole: true, asked: now }).await;
+            }
         });
     }
 
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -28,6 +28,9 @@
 const PROBE_EVERY: Duration = Duration::from_millis(350);
 const PROBES: u32 = 3;
 
+/// The time that sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
 /// The bounds of a [`Client`].
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -74,6 +77,7 @@
         connector.set_keepalive(Some(PROBE_AFTER));
         connector.set_keepalive_interval(Some(PROBE_EVERY));
         connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(IDLE_PER_HOST)
