Push maps to the entries, and let a failed release silence nobody

Change: entries that are missing by a peer's word during an outage are excused (test in crates/hold/tests/list.rs); releases by one target are bounded; silence ends with a sign of life; maps have a table of their own that only the leader follows, and it pushes them to the others; neighbours with one holder are joined.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::control::input::Input,
-    key::{Version, clock::Tick},
+    key::Version,
     platform::store::{Error, Rows, Store, Table},
     std::time::Duration,
     tokio::{
@@ -63,22 +63,20 @@
     }
 }
 
-/// Follows the product's own rows, for ever.
+/// Follows the rows on entries, for ever.
 pub(crate) async fn follow_own(store: Store, inputs: Sender<Input>, mut outages: Outages) {
     loop {
-        let asked = Tick::now();
         let Ok(rows) = store.read(Table::Own).await else {
             time::sleep(PAUSE).await;
             continue;
         };
         let mut version = rows.version;
-        send(&inputs, Input::Own { rows, whole: true, asked }).await;
+        send(&inputs, Input::Own { rows: rows.rows, whole: true }).await;
         loop {
-            let asked = Tick::now();
             match changes(&store, Table::Own, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
-                    send(&inputs, Input::Own { rows, whole: false, asked }).await;
+                    send(&inputs, Input::Own { rows: rows.rows, whole: false }).await;
                 }
                 Err(Error::Forgotten) => break,
                 Err(Error::Unavailable) => time::sleep(PAUSE).await,
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::{
         lead::Lead,
-        peers::{Hello, Reply, Report},
+        peers::{Hello, NewMap, Reply, Report},
     },
     hold::{
         Life, Span,
@@ -12,7 +12,7 @@
     key::{Service, Vm, clock::Tick},
     platform::{
         order::Link,
-        store::{Commit, Row, Rows},
+        store::{Commit, Row},
     },
     smol_str::SmolStr,
     tokio::sync::oneshot,
@@ -29,8 +29,13 @@
     Targets { rows: Vec<Row>, whole: bool },
     /// The list of targets could not be read.
     TargetsSilent,
-    /// The product's own rows have changed, or all of them were read, asked for at some moment.
-    Own { rows: Rows, whole: bool, asked: Tick },
+    /// The rows on entries have changed, or all of them were read.
+    Own { rows: Vec<Row>, whole: bool },
+    /// All rows on holders of keys were read; where this process leads, the rows on entries were
+    /// read before them, asked for at some moment.
+    Maps { rows: Vec<Row>, own: Option<(Vec<Row>, Tick)> },
+    /// The leader has written maps.
+    Pushed(Vec<NewMap>),
     /// The result of an attempt to lead.
     Candidacy { lead: Lead, commit: Commit },
     /// The peers' votes on whether the leader is silent.
--- a/crates/edge/src/control/lead.rs
+++ b/crates/edge/src/control/lead.rs
@@ -10,7 +10,6 @@
 /// The key of the row that names the leader.
 pub(crate) const LEAD_KEY: &str = "lead";
 
-const MAP_PREFIX: &str = "map/";
 const MEMBER_PREFIX: &str = "member/";
 
 /// The row that names the leader.
@@ -43,7 +42,6 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Subject<'a> {
     Lead,
-    Map(&'a str),
     Member(&'a str),
     Other,
 }
@@ -53,18 +51,10 @@
         if key == LEAD_KEY {
             return Self::Lead;
         }
-        if let Some(service) = key.strip_prefix(MAP_PREFIX) {
-            return Self::Map(service);
-        }
         key.strip_prefix(MEMBER_PREFIX).map_or(Self::Other, Self::Member)
     }
 }
 
-/// Returns the key of a service's map.
-pub(crate) fn map_key(service: &str) -> SmolStr {
-    format_smolstr!("{MAP_PREFIX}{service}")
-}
-
 /// Returns the key of an entry's row.
 pub(crate) fn member_key(vm: &Vm) -> SmolStr {
     format_smolstr!("{MEMBER_PREFIX}{vm}")
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -26,6 +26,7 @@
 
 const BODY_LIMIT_BYTES: usize = 1 << 20;
 const REPORT_PATH: &str = "/report";
+const MAPS_PATH: &str = "/maps";
 const HELLO_PATH: &str = "/hello";
 
 /// The requests for one key.
@@ -123,6 +124,13 @@
             send(&inputs, Input::Report { report, answer }).await;
             reply_with(reply.await)
         }
+        MAPS_PATH if request.method() == Method::POST => {
+            let Ok(maps) = wire::read_json::<Vec<NewMap>>(request, BODY_LIMIT_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            send(&inputs, Input::Pushed(maps)).await;
+            wire::json(StatusCode::OK, &())
+        }
         HELLO_PATH => {
             let (answer, reply) = oneshot::channel();
             send(&inputs, Input::Hello { answer }).await;
@@ -155,6 +163,12 @@
         self.client.post(to, REPORT_PATH, report).await.ok()
     }
 
+    /// Sends maps to entries. One that cannot be reached gets them with its next report.
+    pub(crate) async fn push(&self, members: Vec<SocketAddr>, maps: &[NewMap]) {
+        let send = |to| async move { self.client.post::<_, ()>(to, MAPS_PATH, maps).await.is_ok() };
+        join_all(members.into_iter().map(send)).await;
+    }
+
     /// Asks entries whether they hear the leader: how many do not, and whether any does.
     pub(crate) async fn poll(&self, members: Vec<SocketAddr>) -> (usize, bool) {
         let ask = |to| async move { self.client.get::<Hello>(to, HELLO_PATH).await.ok() };
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -11,7 +11,7 @@
             feeds::send,
             input::Input,
             lead::{LEAD_KEY, Lead, Member, Subject, member_key},
-            peers::{Hello, Peers},
+            peers::{Hello, NewMap, Peers},
         },
         shared::Shared,
         view::Pool,
@@ -22,7 +22,7 @@
     leading::Leading,
     platform::{
         Store,
-        store::{Commit, ROUTING_KEY, Row, Write},
+        store::{Commit, ROUTING_KEY, Row, Table, Write},
         text,
     },
     route::quarantine::Strike,
@@ -82,6 +82,8 @@
     store_up: bool,
     reported: Tick,
     reporting: bool,
+    reading_maps: bool,
+    maps_read: Tick,
     strikes: VecDeque<Fresh>,
     pool: Pool,
     /// Whether the view is older than what is known.
@@ -118,6 +120,8 @@
             store_up: true,
             reported: now,
             reporting: false,
+            reading_maps: false,
+            maps_read: Tick::default(),
             strikes: VecDeque::new(),
             pool: Pool::default(),
             dirty: false,
@@ -146,9 +150,9 @@
             Input::Operator(rows) => self.take_operator(&rows),
             Input::Targets { rows, whole } => self.take_targets(rows, whole, now),
             Input::TargetsSilent => self.registry.note_reading(false, now),
-            Input::Own { rows, whole, asked } => {
-                self.take_own(&rows.rows, whole, asked, now);
-            }
+            Input::Own { rows, whole } => self.take_own(&rows, whole, now),
+            Input::Maps { rows, own } => self.take_maps(&rows, own, now),
+            Input::Pushed(maps) => self.take_pushed(maps),
             Input::Candidacy { lead, commit } => self.take_candidacy(lead, commit, now),
             Input::Polled { silent, heard } => {
                 self.election.polled(silent, heard, self.entries, now);
@@ -274,15 +278,11 @@
         );
     }
 
-    fn take_own(&mut self, rows: &[Row], whole: bool, asked: Tick, now: Tick) {
+    fn take_own(&mut self, rows: &[Row], whole: bool, now: Tick) {
         for row in rows {
             let Some(value) = &row.value else { continue };
             match Subject::of(&row.key) {
                 Subject::Lead => self.take_lead(value, row.version, now),
-                Subject::Map(service) => match Map::parse(value, row.version) {
-                    Ok(map) => self.adopt_map(Service::from(service), map),
-                    Err(error) => self.believe(&row.key, row.version, &error.to_string()),
-                },
                 Subject::Member(vm) => match serde_json::from_slice(value) {
                     Ok(member) => {
                         self.members.insert(Vm::from(vm), member);
@@ -294,11 +294,30 @@
             }
         }
         self.own_read |= whole;
-        if whole {
+    }
+
+    fn take_maps(&mut self, rows: &[Row], own: Option<(Vec<Row>, Tick)>, now: Tick) {
+        self.reading_maps = false;
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            match Map::parse(value, row.version) {
+                Ok(map) => self.adopt_map(Service::from(row.key.as_str()), map),
+                Err(error) => self.believe(&row.key, row.version, &error.to_string()),
+            }
+        }
+        if let Some((own, asked)) = own {
+            self.take_own(&own, true, now);
             self.confirm_lead(asked);
         }
     }
 
+    fn take_pushed(&mut self, maps: Vec<NewMap>) {
+        for new in maps {
+            let map = Map { version: new.version, ..new.map };
+            self.adopt_map(new.service, map);
+        }
+    }
+
     fn take_lead(&mut self, value: &[u8], version: Version, now: Tick) {
         if version <= self.lead_version {
             return;
@@ -352,7 +371,12 @@
         // A row of plain fields always has a form in JSON.
         let value = serde_json::to_vec(&lead).unwrap_or_default();
         let write =
-            Write { key: LEAD_KEY.into(), expected: self.lead_version, value: Some(value) };
+            Write {
+                table: Table::Own,
+                key: LEAD_KEY.into(),
+                expected: self.lead_version,
+                value: Some(value),
+            };
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let commit = store.commit(&[write]).await;
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -9,7 +9,6 @@
         lead::Member,
         peers::{Answers, KeyCount, KeyLoad, MapVersion, Reply, Report},
     },
-    hold::Map,
     key::{Version, Vm, clock::Tick},
     platform::{
         Store,
@@ -26,6 +25,12 @@
 /// The time between two reports.
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 
+/// The silence of the leader after which the rows on holders of keys are read from the store.
+const UNHEARD: Duration = Duration::from_millis(700);
+
+/// The time between two such readings.
+const READ_MAPS_EVERY: Duration = Duration::from_millis(800);
+
 /// The pause before the entry's own row is written again.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -35,7 +40,8 @@
     let value = serde_json::to_vec(member).unwrap_or_default();
     let mut expected = Version::ZERO;
     loop {
-        let write = Write { key: key.clone(), expected, value: Some(value.clone()) };
+        let value = Some(value.clone());
+        let write = Write { table: Table::Own, key: key.clone(), expected, value };
         if let Commit::Committed(_) = store.commit(&[write]).await {
             return;
         }
@@ -49,6 +55,10 @@
 
 impl State {
     pub(super) fn follow(&mut self, now: Tick) {
+        let unheard = self.election.silence(now) >= UNHEARD || self.lead.is_none();
+        if unheard && now.since(self.maps_read) >= READ_MAPS_EVERY {
+            self.read_maps(now);
+        }
         if !self.own_read || self.standing || self.is_turned_away(now) || self.shared.is_stopping()
         {
             return;
@@ -61,6 +71,20 @@
         }
     }
 
+    /// Reads the rows on holders of keys, which otherwise come from the leader.
+    fn read_maps(&mut self, now: Tick) {
+        self.maps_read = now;
+        if self.reading_maps {
+            return;
+        }
+        self.reading_maps = true;
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let rows = store.read(Table::Maps).await.map(|rows| rows.rows).unwrap_or_default();
+            send(&inputs, Input::Maps { rows, own: None }).await;
+        });
+    }
+
     /// Returns how many entries come before this one when a leader is needed.
     fn rank(&self) -> usize {
         let leader = self.lead.as_ref().map(|lead| &lead.vm);
@@ -158,10 +182,7 @@
         if let Some(routing) = reply.routing {
             self.adopt_routing(routing, "from the leader");
         }
-        for new in reply.maps {
-            let map = Map { version: new.version, ..new.map };
-            self.adopt_map(new.service, map);
-        }
+        self.take_pushed(reply.maps);
         if let Some(targets) = reply.targets {
             let listed = |vm: &Vm| targets.iter().any(|listed| listed.listing.vm == *vm);
             self.dirty |= self.registry.retain(listed, now);
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -5,7 +5,7 @@
     crate::control::{
         feeds::send,
         input::Input,
-        lead::{LEAD_KEY, map_key},
+        lead::LEAD_KEY,
         orders::{self, Way},
         peers::{Listed, NewMap, Reply, Report},
     },
@@ -120,9 +120,10 @@
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             // Without an answer the leader asks again before long.
-            if let Ok(rows) = store.read(Table::Own).await {
-                send(&inputs, Input::Own { rows, whole: true, asked: now }).await;
-            }
+            let Ok(own) = store.read(Table::Own).await else { return };
+            let Ok(maps) = store.read(Table::Maps).await else { return };
+            let own = Some((own.rows, now));
+            send(&inputs, Input::Maps { rows: maps.rows, own }).await;
         });
     }
 
@@ -276,9 +277,15 @@
 
     fn write(&self, service: Service, map: &Map, _now: Tick) {
         let writes = [
-            Write { key: LEAD_KEY.into(), expected: self.lead_version, value: None },
             Write {
-                key: map_key(service.as_str()),
+                table: Table::Own,
+                key: LEAD_KEY.into(),
+                expected: self.lead_version,
+                value: None,
+            },
+            Write {
+                table: Table::Maps,
+                key: service.as_str().into(),
                 expected: map.version,
                 value: Some(map.to_bytes()),
             },
@@ -291,6 +298,16 @@
         });
     }
 
+    /// Sends a map to all other entries, which would otherwise learn of it with their next report.
+    fn push(&self, service: &Service, map: Map) {
+        let version = map.version;
+        let new = NewMap { service: service.clone(), version, map };
+        let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
+        let others = others.map(|(_, member)| member.address).collect();
+        let peers = self.peers.clone();
+        tokio::task::spawn_local(async move { peers.push(others, &[new]).await });
+    }
+
     fn note_plan(&self, service: &Service, map: &Map, outcome: &str) {
         self.shared.journal.note(
             "plan",
@@ -315,9 +332,10 @@
         let map = planner.map().clone();
         self.note_plan(service, &map, &format!("{commit:?}"));
         if let Commit::Committed(_) = commit {
-            self.adopt_map(service.clone(), map);
+            self.adopt_map(service.clone(), map.clone());
             // New holders get their grants at once.
             self.plan(now);
+            self.push(service, map);
         } else {
             self.read_own(now);
         }
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -125,7 +125,10 @@
 
     /// Notes that an entry was removed, and tells whether that is new.
     pub fn remove(&mut self, vm: &Vm, now: Tick) -> bool {
-        let excused_until = self.back_since.map_or(Tick::default(), |back| back.plus(RETURN));
+        // While the store is silent here, a peer's knowledge of it may already be later than the end
+        // of the outage.
+        let back = if self.silent_since.is_some() { Some(now) } else { self.back_since };
+        let excused_until = back.map_or(Tick::default(), |back| back.plus(RETURN));
         match self.targets.get_mut(vm) {
             Some(known) if known.missing.is_none() => {
                 known.missing = Some(Missing { since: now, excused_until });
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -206,6 +206,27 @@
         at as u16
     }
 
+    /// Joins neighbours with the same holder that have had their keys for some time. Those that are
+    /// given out by the same write stay apart, since each may have a handover of its own.
+    pub fn join_neighbours(&mut self) {
+        let mut joined: Vec<Holding> = Vec::with_capacity(self.holdings.len());
+        let mut fresh = false;
+        for holding in self.holdings.drain(..) {
+            let is_new = holding.fence == Fence::ZERO;
+            match joined.last_mut() {
+                Some(last) if last.holder == holding.holder && !fresh && !is_new => {
+                    last.span.last = holding.span.last;
+                    last.fence = Fence::ZERO;
+                }
+                _ => {
+                    fresh = is_new;
+                    joined.push(holding);
+                }
+            }
+        }
+        self.holdings = joined;
+    }
+
     /// Joins neighbours that both wait for the same new fence.
     fn merge(&mut self) {
         let mut merged: Vec<Holding> = Vec::with_capacity(self.holdings.len());
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -36,6 +36,9 @@
 /// The most moves at a time.
 const MOVES: usize = 8;
 
+/// The most releases at a time by one target that is leaving.
+const MOVES_EACH: usize = 4;
+
 /// The failures of orders in a row after which a target counts as silent.
 const SILENT_AFTER: u32 = 2;
 
@@ -321,12 +324,8 @@
     /// Tells whether orders may go to a target: one that has been silent must first show in the list
     /// that it lives.
     fn may_order(&self, registry: &Registry, holder: &Holder) -> bool {
-        let Some(contact) = self.contacts.get(&holder.life) else { return true };
-        if contact.busy {
-            return false;
-        }
-        let version = registry.get(&holder.life.vm).map_or(Version::ZERO, |known| known.version);
-        contact.failures < SILENT_AFTER || version > contact.failed_at
+        let busy = self.contacts.get(&holder.life).is_some_and(|contact| contact.busy);
+        !busy && !self.is_silent(registry, &holder.life)
     }
 
     fn due_grants(&self, life: &Life, now: Tick) -> Vec<Grant> {
@@ -435,16 +434,25 @@
 
     /// Returns the moves away from targets that are leaving.
     fn departures(&self, registry: &Registry, now: Tick) -> Vec<Move> {
-        let mut moves = Vec::new();
+        let mut moves: Vec<Move> = Vec::new();
+        if self.ready(registry, now).next().is_none() {
+            return moves;
+        }
         for holder in &self.map.holders {
+            let mut under_way =
+                self.moves.iter().filter(|moving| moving.from == holder.life).count();
             if !is_leaving(registry, holder, now) || !self.can_release(&holder.life, now) {
                 continue;
             }
             for holding in self.map.held_by(&holder.life) {
                 let span = holding.span;
+                if under_way >= MOVES_EACH {
+                    break;
+                }
                 if !self.moves.iter().any(|moving| moving.span.overlaps(span)) {
                     let from = holder.life.clone();
                     moves.push(Move { span, from, to: None, step: Step::Releasing });
+                    under_way += 1;
                 }
             }
         }
@@ -522,7 +530,6 @@
                 // The target may have obeyed, so what it holds is granted anew.
                 let contact = self.contacts.entry(life.clone()).or_default();
                 contact.fences.retain(|known, _| !known.overlaps(span));
-                contact.failures += 1;
             }
         }
     }
@@ -559,6 +566,7 @@
         if !supersedes && (!changed || map == self.map) {
             return None;
         }
+        map.join_neighbours();
         self.writing = Some(map.clone());
         Some(Action::Write(map))
     }
@@ -601,7 +609,7 @@
                     known.is_some_and(|known| {
                         known.listing.life() == holder.life
                             && registry.presence(known, now) == Presence::Ready
-                    }) && !self.is_silent(&holder.life)
+                    }) && !self.is_silent(registry, &holder.life)
                 });
                 !moving && !held && !usable
             })
@@ -642,8 +650,12 @@
         true
     }
 
-    fn is_silent(&self, life: &Life) -> bool {
-        self.contacts.get(life).is_some_and(|contact| contact.failures >= SILENT_AFTER)
+    /// Tells whether orders to a target failed and the list has shown no sign of life since.
+    fn is_silent(&self, registry: &Registry, life: &Life) -> bool {
+        let version = registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
+        self.contacts.get(life).is_some_and(|contact| {
+            contact.failures >= SILENT_AFTER && version <= contact.failed_at
+        })
     }
 
     /// Returns who gets keys: the target that was meant, or else the least loaded.
@@ -658,7 +670,7 @@
         let ready: Vec<Holder> = self
             .ready(registry, now)
             .map(holder)
-            .filter(|holder| !self.is_silent(&holder.life))
+            .filter(|holder| !self.is_silent(registry, &holder.life))
             .collect();
         let meant = meant.and_then(|life| ready.iter().find(|holder| holder.life == *life));
         if let Some(holder) = meant {
--- /dev/null
+++ b/crates/hold/tests/list.rs
@@ -0,0 +1,144 @@
+//! When a target counts as leaving, in tables of what the list showed.
+
+use {
+    hold::{
+        Listing, Registry,
+        list::{Presence, State},
+    },
+    key::{Service, Version, Vm, Zone, clock::Tick},
+};
+
+enum Step {
+    Listed(State, u64),
+    Removed,
+    Silent,
+    Answered,
+}
+
+struct Case {
+    name: &'static str,
+    /// What happened, with the second at which it did.
+    steps: Vec<(u64, Step)>,
+    /// The second that is asked about.
+    at: u64,
+    /// The second since which the target counts as leaving, or nothing.
+    leaving_since_ms: Option<u64>,
+}
+
+fn at_ms(ms: u64) -> Tick {
+    Tick::from(ms * 1_000 + 1)
+}
+
+fn listing(state: State, born: u64) -> Listing {
+    Listing {
+        vm: Vm::from("t"),
+        born,
+        service: Service::from("keyed"),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: Zone::from("a"),
+        slots: 2,
+        state,
+        cold_ms: 0,
+    }
+}
+
+fn presence(steps: &[(u64, Step)], at: u64) -> Presence {
+    let mut registry = Registry::default();
+    for (version, (second, step)) in steps.iter().enumerate() {
+        let now = at_ms(second * 1_000);
+        match step {
+            Step::Listed(state, born) => {
+                let version = Version::from(version as u64 + 1);
+                registry.list(listing(*state, *born), version, now);
+            }
+            Step::Removed => {
+                registry.remove(&Vm::from("t"), now);
+            }
+            Step::Silent => registry.note_reading(false, now),
+            Step::Answered => registry.note_reading(true, now),
+        }
+    }
+    let vm = Vm::from("t");
+    let known = registry.get(&vm).expect("the target was listed");
+    registry.presence(known, at_ms(at * 1_000))
+}
+
+#[test]
+fn a_target_counts_as_leaving_when_the_list_says_so() {
+    use {
+        State::{Leaving, Ready},
+        Step::{Answered, Listed, Removed, Silent},
+    };
+    let cases = [
+        Case { name: "listed", steps: vec![(1, Listed(Ready, 1))], at: 9, leaving_since_ms: None },
+        Case {
+            name: "says that it leaves",
+            steps: vec![(1, Listed(Ready, 1)), (3, Listed(Leaving, 1)), (4, Listed(Leaving, 1))],
+            at: 5,
+            leaving_since_ms: Some(3_000),
+        },
+        Case {
+            name: "vanishes while the store answers",
+            steps: vec![(1, Listed(Ready, 1)), (3, Removed)],
+            at: 3,
+            leaving_since_ms: Some(3_000),
+        },
+        Case {
+            name: "vanishes right after an outage",
+            steps: vec![(1, Listed(Ready, 1)), (2, Silent), (6, Answered), (6, Removed)],
+            at: 8,
+            leaving_since_ms: None,
+        },
+        Case {
+            name: "is still missing long after an outage",
+            steps: vec![(1, Listed(Ready, 1)), (2, Silent), (6, Answered), (6, Removed)],
+            at: 9,
+            leaving_since_ms: Some(8_200),
+        },
+        Case {
+            name: "is back after an outage",
+            steps: vec![
+                (1, Listed(Ready, 1)),
+                (2, Silent),
+                (6, Answered),
+                (6, Removed),
+                (7, Listed(Ready, 1)),
+            ],
+            at: 20,
+            leaving_since_ms: None,
+        },
+        Case {
+            name: "is missing before a later outage",
+            steps: vec![(1, Listed(Ready, 1)), (3, Removed), (10, Silent), (12, Answered)],
+            at: 13,
+            leaving_since_ms: Some(3_000),
+        },
+        Case {
+            name: "is missing by a peer's word while the store is silent here",
+            steps: vec![(1, Listed(Ready, 1)), (2, Silent), (6, Removed)],
+            at: 7,
+            leaving_since_ms: None,
+        },
+        Case {
+            name: "starts anew under its name",
+            steps: vec![(1, Listed(Leaving, 1)), (2, Removed), (4, Listed(Ready, 2))],
+            at: 5,
+            leaving_since_ms: None,
+        },
+    ];
+    for case in cases {
+        let expected =
+            case.leaving_since_ms.map_or(Presence::Ready, |ms| Presence::Leaving(at_ms(ms)));
+        assert_eq!(presence(&case.steps, case.at), expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_older_entry_changes_nothing() {
+    let mut registry = Registry::default();
+    registry.list(listing(State::Leaving, 2), Version::from(5), at_ms(1));
+    assert!(!registry.list(listing(State::Ready, 1), Version::from(4), at_ms(2)));
+    let vm = Vm::from("t");
+    let known = registry.get(&vm).expect("the target was listed");
+    assert_eq!(known.listing.born, 2);
+}
