--- a/crates/almondworks/src/main.rs
+++ b/crates/almondworks/src/main.rs
@@ -14,7 +14,11 @@
     conf::{Fleet, Settings, Text, settings::LogLevel},
     gumdrop::Options,
     simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
-    std::{fs, path::{Path, PathBuf}, process::ExitCode},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
 };
 
 /// The exit codes, as docs/OPERATING.md lists them.
@@ -50,9 +54,7 @@
 
 fn run(command: Command) -> Result<ExitCode, Error> {
     match command {
-        Command::Entry(arguments) => {
-            run_entry(arguments.settings)
-        }
+        Command::Entry(arguments) => run_entry(arguments.settings),
         Command::Config(arguments) => match arguments.command {
             Some(ConfigCommand::Check(check)) => self::check(&check.file),
             Some(other) => operator::config(other),
@@ -70,8 +72,8 @@
 /// Runs an entry by the settings' form: on the users' platform, or with the product's own
 /// conventions.
 fn run_entry(file: PathBuf) -> Result<ExitCode, Error> {
-    let text = fs::read_to_string(&file)
-        .map_err(|error| Error::File { file: file.clone(), error })?;
+    let text =
+        fs::read_to_string(&file).map_err(|error| Error::File { file: file.clone(), error })?;
     let wrong = |error| Error::Text { file: file.clone(), error };
     if Fleet::is_meant(&text).map_err(wrong)? {
         let settings = Fleet::parse(&text).map_err(wrong)?;
--- a/crates/edge/src/control/election.rs
+++ b/crates/edge/src/control/election.rs
@@ -4,10 +4,7 @@
 //! here is only when to try: late enough that a short silence changes nothing, and not while other
 //! entries hear the leader.
 
-use {
-    key::clock::Tick,
-    std::time::Duration,
-};
+use {key::clock::Tick, std::time::Duration};
 
 /// The silence of the leader after which others ask around.
 const SILENCE: Duration = Duration::from_millis(900);
@@ -100,7 +97,11 @@
             Leader::Nobody if self.silence(now) >= START + turn => Verdict::Stand,
             Leader::Other { resigning: true } if self.silence(now) >= turn => Verdict::Stand,
             Leader::Other { .. } if self.silence(now) >= SILENCE + turn => {
-                if self.polled { Verdict::Stand } else { Verdict::Poll }
+                if self.polled {
+                    Verdict::Stand
+                } else {
+                    Verdict::Poll
+                }
             }
             _ => Verdict::Wait,
         }
--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -86,11 +86,7 @@
 }
 
 /// Follows the list of targets, for ever, and counts the outages that this shows.
-pub(crate) async fn follow_targets(
-    store: Store,
-    inputs: Sender<Input>,
-    ended: watch::Sender<u64>,
-) {
+pub(crate) async fn follow_targets(store: Store, inputs: Sender<Input>, ended: watch::Sender<u64>) {
     let mut silent = false;
     let mut answered = |answer: bool| {
         if answer && silent {
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -45,12 +45,7 @@
     /// Grants were sent.
     Granted { service: Service, life: Life, results: Vec<(Grant, Outcome)>, link: Option<Link> },
     /// Keys were taken back, or not.
-    Released {
-        service: Service,
-        life: Life,
-        span: Span,
-        result: Result<Option<SmolStr>, Outcome>,
-    },
+    Released { service: Service, life: Life, span: Span, result: Result<Option<SmolStr>, Outcome> },
     /// A peer reports to the leader.
     Report { report: Report, answer: oneshot::Sender<Reply> },
     /// A peer asks whether this process hears the leader.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! The control thread: everything that is agreed, known and decided beside single requests.
 
-mod feeds;
 mod election;
+mod feeds;
 mod input;
 mod lead;
 mod orders;
@@ -56,7 +56,11 @@
     tokio::task::spawn_local(peers::serve(listener, sender.clone()));
     let (ended, outages) = watch::channel(0);
     let feed = (store.clone(), sender.clone());
-    tokio::task::spawn_local(feeds::follow_operator(feed.0.clone(), feed.1.clone(), outages.clone()));
+    tokio::task::spawn_local(feeds::follow_operator(
+        feed.0.clone(),
+        feed.1.clone(),
+        outages.clone(),
+    ));
     tokio::task::spawn_local(feeds::follow_own(feed.0.clone(), feed.1.clone(), outages));
     tokio::task::spawn_local(feeds::follow_targets(feed.0, feed.1, ended));
     let mut state = State::new(seat.me, seat.shared, store, sender);
--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -52,10 +52,14 @@
                     Ok(()) => Outcome::Granted,
                     Err(Error::Fenced) => Outcome::Fenced,
                     Err(Error::Refused(_)) => Outcome::Refused,
-                    Err(Error::Unreachable | Error::Misdirected) => {
+                    Err(Error::Unreachable) => {
                         link = None;
                         Outcome::Unsent
                     }
+                    Err(Error::Misdirected) => {
+                        link = None;
+                        Outcome::Ended
+                    }
                     Err(Error::Lost) => {
                         link = None;
                         Outcome::Lost
@@ -79,7 +83,8 @@
     let mut link = opened.map_err(|_| Outcome::Unsent)?;
     match link.release(span, fence, RELEASE_TIMEOUT).await {
         Ok(handover) => Ok(handover),
-        Err(Error::Unreachable | Error::Misdirected) => Err(Outcome::Unsent),
+        Err(Error::Unreachable) => Err(Outcome::Unsent),
+        Err(Error::Misdirected) => Err(Outcome::Ended),
         Err(_) => Err(Outcome::Lost),
     }
 }
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -70,6 +70,8 @@
     pub(crate) load: Vec<KeyLoad>,
     pub(crate) answers: Vec<Answers>,
     pub(crate) strikes: Vec<Strike>,
+    /// Runs of targets that are proved to have ended.
+    pub(crate) ended: Vec<Life>,
 }
 
 /// A map with its version.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -214,9 +214,7 @@
     }
 
     fn believe(&self, subject: &str, version: Version, detail: &str) {
-        self.shared
-            .journal
-            .note("belief", &Believed { subject, version: version.get(), detail });
+        self.shared.journal.note("belief", &Believed { subject, version: version.get(), detail });
     }
 
     fn take_operator(&mut self, rows: &[Row]) {
@@ -272,10 +270,9 @@
     }
 
     fn believe_target(&self, vm: &Vm, version: Version, detail: &str) {
-        self.shared.journal.note(
-            "target",
-            &Believed { subject: vm.as_str(), version: version.get(), detail },
-        );
+        self.shared
+            .journal
+            .note("target", &Believed { subject: vm.as_str(), version: version.get(), detail });
     }
 
     fn take_own(&mut self, rows: &[Row], whole: bool, now: Tick) {
@@ -370,13 +367,12 @@
         self.believe(LEAD_KEY, self.lead_version, "standing");
         // A row of plain fields always has a form in JSON.
         let value = serde_json::to_vec(&lead).unwrap_or_default();
-        let write =
-            Write {
-                table: Table::Own,
-                key: LEAD_KEY.into(),
-                expected: self.lead_version,
-                value: Some(value),
-            };
+        let write = Write {
+            table: Table::Own,
+            key: LEAD_KEY.into(),
+            expected: self.lead_version,
+            value: Some(value),
+        };
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let commit = store.commit(&[write]).await;
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -2,12 +2,15 @@
 
 use {
     super::State,
-    crate::control::{
-        election::Verdict,
-        feeds::send,
-        input::Input,
-        lead::Member,
-        peers::{Answers, KeyCount, KeyLoad, MapVersion, Reply, Report},
+    crate::{
+        control::{
+            election::Verdict,
+            feeds::send,
+            input::Input,
+            lead::Member,
+            peers::{Answers, KeyCount, KeyLoad, MapVersion, Reply, Report},
+        },
+        shared::Seen,
     },
     key::{Version, Vm, clock::Tick},
     platform::{
@@ -131,10 +134,7 @@
     }
 
     fn make_report(&self, now: Tick) -> Report {
-        let (keys, strikes) = {
-            let mut seen = self.shared.seen();
-            (std::mem::take(&mut seen.keys), std::mem::take(&mut seen.strikes))
-        };
+        let Seen { keys, strikes, ended } = std::mem::take(&mut *self.shared.seen());
         let mut load = BTreeMap::new();
         for ((service, key), requests) in keys {
             let keys: &mut Vec<KeyCount> = load.entry(service).or_default();
@@ -149,10 +149,10 @@
                 mean_ms: (sum / count).as_millis() as u64,
             })
         });
-        let maps = self.maps.iter().map(|(service, map)| MapVersion {
-            service: service.clone(),
-            version: map.version,
-        });
+        let maps = self
+            .maps
+            .iter()
+            .map(|(service, map)| MapVersion { service: service.clone(), version: map.version });
         Report {
             vm: self.me.vm.clone(),
             routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
@@ -161,6 +161,7 @@
             load: load.into_iter().map(|(service, keys)| KeyLoad { service, keys }).collect(),
             answers: answers.collect(),
             strikes,
+            ended,
         }
     }
 
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -347,6 +347,9 @@
             self.strikes.push_back(super::Fresh { strike: *strike, since: now });
         }
         let Some(leading) = &mut self.leading else { return };
+        for life in &report.ended {
+            leading.planners.values_mut().for_each(|planner| planner.end(life));
+        }
         for load in &report.load {
             let Some(planner) = leading.planners.get_mut(&load.service) else { continue };
             for count in &load.keys {
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -30,8 +30,7 @@
         let mut ready: HashMap<_, Vec<Arc<Target>>> = HashMap::new();
         for known in self.registry.all() {
             if self.registry.presence(known, now) == Presence::Ready {
-                let target =
-                    self.pool.get(&known.listing.life(), || Target::new(&known.listing));
+                let target = self.pool.get(&known.listing.life(), || Target::new(&known.listing));
                 ready.entry(known.listing.service.clone()).or_default().push(target);
             }
         }
@@ -77,9 +76,9 @@
     pub(super) fn has_leaving(&self, now: Tick) -> bool {
         let leaving = |map: &Arc<Map>| {
             map.holders.iter().any(|holder| {
-                self.registry.get(&holder.life.vm).is_some_and(|known| {
-                    self.registry.presence(known, now) != Presence::Ready
-                })
+                self.registry
+                    .get(&holder.life.vm)
+                    .is_some_and(|known| self.registry.presence(known, now) != Presence::Ready)
             })
         };
         self.maps.values().any(leaving)
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -12,7 +12,9 @@
     key::{Incarnation, Process},
     report::Journal,
     serde::Serialize,
-    std::{net::SocketAddr, path::PathBuf, sync::Arc, sync::atomic::Ordering, thread, time::Duration},
+    std::{
+        net::SocketAddr, path::PathBuf, sync::Arc, sync::atomic::Ordering, thread, time::Duration,
+    },
     tokio::{
         net::TcpListener,
         runtime::{Builder, Runtime},
@@ -55,8 +57,7 @@
 ///
 /// Returns an [`Error`] if the process cannot start or its control thread ends.
 pub fn run(settings: Fleet, file: PathBuf) -> Result<(), Error> {
-    let journal =
-        Journal::start(settings.vm.as_str(), settings.log_lines_per_s.get())?;
+    let journal = Journal::start(settings.vm.as_str(), settings.log_lines_per_s.get())?;
     let me =
         Process { vm: settings.vm.clone(), incarnation: Incarnation::from(rand::random::<u64>()) };
     let runtime = runtime()?;
@@ -101,11 +102,7 @@
     Ok(Builder::new_current_thread().enable_all().build()?)
 }
 
-async fn traffic(
-    shared: &Arc<Shared>,
-    listeners: Listeners,
-    file: PathBuf,
-) -> Result<bool, Error> {
+async fn traffic(shared: &Arc<Shared>, listeners: Listeners, file: PathBuf) -> Result<bool, Error> {
     let Listeners { callers, ready, metrics } = listeners;
     let (stop, stopped) = watch::channel(false);
     let callers = TcpListener::from_std(callers)?;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{metrics::Counters, view::View},
     arc_swap::ArcSwap,
     conf::Fleet,
+    hold::Life,
     key::Service,
     report::Journal,
     route::{Quarantine, budget::Window, quarantine::Strike},
@@ -24,6 +25,8 @@
     pub(crate) keys: HashMap<(Service, u16), u32>,
     /// Requests that were in flight when a target died.
     pub(crate) strikes: Vec<Strike>,
+    /// Runs of targets at whose address another target answers.
+    pub(crate) ended: Vec<Life>,
 }
 
 /// The state that both planes reach.
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -6,7 +6,9 @@
         target::{Connection, Error, Target},
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, HeaderName, Request, Response, StatusCode, header as standard, request::Parts},
+    http::{
+        HeaderMap, HeaderName, Request, Response, StatusCode, header as standard, request::Parts,
+    },
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
     platform::header::{self, Denial},
@@ -119,7 +121,7 @@
     if !header::answers(&response, header::id(&call.parts.headers)) {
         return Attempt::Broken;
     }
-    if let Some(denial) = header::denial(&response) {
+    if let Some(denial) = header::denial(&response, target.life.vm.as_str()) {
         drain(response.into_body(), connection).await;
         return Attempt::Denied(denial);
     }
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -1,11 +1,7 @@
 //! Choosing the service and the target of a request.
 
 use {
-    crate::{
-        shared::Shared,
-        traffic::target::Target,
-        view::View,
-    },
+    crate::{shared::Shared, traffic::target::Target, view::View},
     conf::routing::{Part, Route},
     key::{Service, Zone},
     std::sync::Arc,
--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -38,7 +38,7 @@
 const HOLDER_PAUSE: Duration = Duration::from_millis(25);
 
 /// The times that a holder may deny a request before it is refused.
-const MISDIRECTIONS: u32 = 3;
+const MISDIRECTIONS: u32 = 2;
 
 /// The time a caller that names none is taken to wait.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
@@ -248,8 +248,8 @@
                     self.note_failure(&target, "unreachable");
                     self.after_unsent(error)?;
                 }
-                Attempt::Denied(Denial::Misdirected) => {
-                    self.note_failure(&target, "misdirected");
+                Attempt::Denied(denial @ (Denial::NotHeld | Denial::Elsewhere)) => {
+                    self.note_misdirection(&target, denial);
                     misdirections += 1;
                     if misdirections >= MISDIRECTIONS {
                         return Err(self.refusal(Reason::NoOwner));
@@ -347,7 +347,9 @@
                 return Ok(target);
             }
             let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || time::timeout(left, changed.changed()).await.is_err() {
+            if time::timeout(left.min(HOLDER_PAUSE), changed.changed()).await.is_err()
+                && left <= HOLDER_PAUSE
+            {
                 let reason = if self.task.keyed { Reason::NoOwner } else { Reason::Unreachable };
                 return Err(self.refusal(reason));
             }
@@ -357,12 +359,31 @@
     fn choose(&self, view: &View) -> Option<Arc<Target>> {
         match self.task.key {
             Some(key) if self.task.keyed => {
-                view.holder(&self.task.service, key).filter(|target| !target.is_unreachable())
+                let map = view.map_version(&self.task.service);
+                view.holder(&self.task.service, key)
+                    .filter(|target| !target.is_unreachable() && !target.denies(key, map))
             }
             _ => choose::any(self.shared, view, &self.task.service, &self.tried),
         }
     }
 
+    fn note_misdirection(&self, target: &Target, denial: Denial) {
+        if denial == Denial::Elsewhere {
+            self.note_failure(target, "another target");
+            if target.note_end() {
+                self.shared.seen().ended.push(target.life.clone());
+            }
+            return;
+        }
+        self.note_failure(target, "not held");
+        let view = self.shared.view.load();
+        if let (Some(holders), Some(key)) = (view.holders.get(&self.task.service), self.task.key)
+            && let Some(holding) = holders.map.holding(key)
+        {
+            target.note_denial(holding.span, holders.map.version);
+        }
+    }
+
     async fn wait_for_change(&self, pause: Duration) {
         let mut changed = self.shared.changed.subscribe();
         // The time is over or the view has changed: either way the request looks again.
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -2,16 +2,16 @@
 
 use {
     crate::{shared::lock, traffic::body::Body},
-    hold::{Life, Listing},
+    hold::{Life, Listing, Span},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
-    key::{Service, Zone},
+    key::{Service, Version, Zone},
     socket2::SockRef,
     std::{
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -41,6 +41,9 @@
 /// The time for which a target is passed over after it shed a request.
 const SHEDDING_FOR: Duration = Duration::from_millis(60);
 
+/// The time for which a target gets no request for keys that it said it does not hold.
+const DENIED_FOR: Duration = Duration::from_millis(100);
+
 /// The latency that a target is expected to have before it has answered, in microseconds.
 const FIRST_LATENCY_US: u64 = 120_000;
 
@@ -94,6 +97,17 @@
     answers_us: AtomicU64,
     passed_over_until: Mutex<Option<Instant>>,
     unreachable_until: Mutex<Option<Instant>>,
+    ended: AtomicBool,
+    denied: Mutex<Vec<Denied>>,
+}
+
+/// Keys that the target said it does not hold.
+#[derive(Debug)]
+struct Denied {
+    span: Span,
+    /// The version of the map by which it should.
+    map: Version,
+    until: Instant,
 }
 
 /// A connection in use. It goes back to its target only when its answer was read whole.
@@ -118,6 +132,8 @@
             answers_us: AtomicU64::new(0),
             passed_over_until: Mutex::default(),
             unreachable_until: Mutex::default(),
+            ended: AtomicBool::new(false),
+            denied: Mutex::default(),
         }
     }
 
@@ -198,6 +214,29 @@
         *lock(&self.passed_over_until) = Some(Instant::now() + SHEDDING_FOR);
     }
 
+    /// Notes that another target answers at the address, and tells whether that is new.
+    pub(crate) fn note_end(&self) -> bool {
+        self.retire_idle();
+        !self.ended.swap(true, Ordering::Relaxed)
+    }
+
+    /// Notes that the target does not hold keys that it should by a map.
+    pub(crate) fn note_denial(&self, span: Span, map: Version) {
+        let now = Instant::now();
+        let mut denied = lock(&self.denied);
+        denied.retain(|denied| now < denied.until && denied.span != span);
+        denied.push(Denied { span, map, until: now + DENIED_FOR });
+    }
+
+    /// Tells whether the target said a moment ago that it does not hold a key, and no newer map
+    /// says otherwise.
+    pub(crate) fn denies(&self, key: u16, map: Version) -> bool {
+        let now = Instant::now();
+        lock(&self.denied)
+            .iter()
+            .any(|denied| now < denied.until && denied.map >= map && denied.span.contains(key))
+    }
+
     /// Notes how long an answer took.
     pub(crate) fn note_latency(&self, latency: Duration) {
         let micros = latency.as_micros() as u64;
@@ -223,7 +262,8 @@
 
     /// Tells whether the target could not be reached a moment ago.
     pub(crate) fn is_unreachable(&self) -> bool {
-        lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until)
+        self.ended.load(Ordering::Relaxed)
+            || lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until)
     }
 
     /// Tells whether other targets should be preferred at present.
--- a/crates/entry/src/control/change.rs
+++ b/crates/entry/src/control/change.rs
@@ -10,14 +10,14 @@
     conf::{Text, services},
     http::StatusCode,
     key::{Version, Vm},
-    store::{
-        Client, Commit,
-        table::{Condition, Row, Transaction, Write},
-    },
     report::log::wall_clock_ms,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::time::{Duration, Instant},
+    store::{
+        Client, Commit,
+        table::{Condition, Row, Transaction, Write},
+    },
     tokio::{sync::oneshot, task::spawn_local, time},
 };
 
--- a/crates/entry/src/control/input.rs
+++ b/crates/entry/src/control/input.rs
@@ -7,9 +7,9 @@
     },
     own::{Event, stop},
     peer::{Refused, State, Versioned, Welcome},
-    store::{table::Row, vms::List},
     report::{Record, burn::Line},
     route::quarantine::Strike,
+    store::{table::Row, vms::List},
     tokio::sync::{mpsc, oneshot},
 };
 
--- a/crates/entry/src/control/routing.rs
+++ b/crates/entry/src/control/routing.rs
@@ -15,12 +15,12 @@
         arena::{Arena, Index},
     },
     own::Node,
-    store::vms::{Listed, State},
     std::{
         collections::{BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
     },
+    store::vms::{Listed, State},
 };
 
 /// What outlives one routing table.
--- a/crates/entry/src/control/shipper.rs
+++ b/crates/entry/src/control/shipper.rs
@@ -3,8 +3,8 @@
 use {
     crate::control::input::{Input, Inputs},
     key::Process,
-    store::Client,
     std::time::Duration,
+    store::Client,
     tokio::{sync::oneshot, time},
 };
 
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -17,10 +17,6 @@
     log::{info, warn},
     own::{Action, Config, Event, Node, Row, lease::Terms},
     peer::{Versioned, Welcome},
-    store::{
-        table,
-        vms::{ENTRY_ROLE, List, Listed, State as VmState},
-    },
     report::{
         Burn, Kind, Ring,
         burn::{BUCKET, Line},
@@ -31,6 +27,10 @@
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
+    store::{
+        table,
+        vms::{ENTRY_ROLE, List, Listed, State as VmState},
+    },
 };
 
 /// The records kept in memory.
--- a/crates/entry/src/control/state/answers.rs
+++ b/crates/entry/src/control/state/answers.rs
@@ -14,7 +14,6 @@
     },
     http::StatusCode,
     key::{Process, Version, Vm, clock::Tick},
-    store::vms::{ENTRY_ROLE, State as VmState},
     report::{Kind, Record, burn::Line},
     std::{
         collections::{HashMap, HashSet},
@@ -22,6 +21,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
+    store::vms::{ENTRY_ROLE, State as VmState},
     tokio::{sync::oneshot, task::spawn_local, time},
 };
 
--- a/crates/entry/src/control/table.rs
+++ b/crates/entry/src/control/table.rs
@@ -5,8 +5,8 @@
     conf::{Settings, settings::Control},
     key::clock::Tick,
     own::{Event, Write},
-    store::{Client, Config},
     std::time::Duration,
+    store::{Client, Config},
     tokio::time,
 };
 
--- a/crates/entry/src/traffic/claim.rs
+++ b/crates/entry/src/traffic/claim.rs
@@ -6,14 +6,14 @@
 
 use {
     key::{Process, Version},
-    store::{
-        Client, Commit,
-        table::{Condition, Row, Transaction, Write},
-    },
     route::Reason,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::time::{Duration, Instant},
+    store::{
+        Client, Commit,
+        table::{Condition, Row, Transaction, Write},
+    },
     tokio::time,
 };
 
--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -100,8 +100,8 @@
             }
             last.map(|key| (key, sum))
         };
-        let front = take(&mut keys.iter())
-            .map(|(key, sum)| (Span { first: span.first, last: key }, sum));
+        let front =
+            take(&mut keys.iter()).map(|(key, sum)| (Span { first: span.first, last: key }, sum));
         let back = take(&mut keys.iter().rev())
             .map(|(key, sum)| (Span { first: key, last: span.last }, sum));
         front.into_iter().chain(back).max_by(|a, b| a.1.total_cmp(&b.1))
@@ -116,8 +116,7 @@
     let edge = |piece: u32| (u64::from(width) * u64::from(piece) / u64::from(pieces)) as u32;
     (0..pieces)
         .map(|piece| {
-            let span =
-                Span { first: edge(piece) as u16, last: (edge(piece + 1) - 1) as u16 };
+            let span = Span { first: edge(piece) as u16, last: (edge(piece + 1) - 1) as u16 };
             (span, piece as usize % count.max(1))
         })
         .collect()
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -213,7 +213,8 @@
     /// a later one.
     #[must_use]
     pub fn has_ended(&self, life: &Life, address: SocketAddr) -> bool {
-        let renewed = self.targets.get(&life.vm).is_some_and(|known| known.listing.born > life.born);
+        let renewed =
+            self.targets.get(&life.vm).is_some_and(|known| known.listing.born > life.born);
         let reused = |known: &Known| {
             known.missing.is_none()
                 && known.listing.address == address
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -38,8 +38,8 @@
         if !self.overlaps(other) {
             return [Some(self), None];
         }
-        let before = (self.first < other.first)
-            .then(|| Self { first: self.first, last: other.first - 1 });
+        let before =
+            (self.first < other.first).then(|| Self { first: self.first, last: other.first - 1 });
         let after =
             (other.last < self.last).then(|| Self { first: other.last + 1, last: self.last });
         [before, after]
@@ -124,8 +124,7 @@
         map.version = version;
         let mut next = 0_u32;
         for holding in &mut map.holdings {
-            let known =
-                holding.holder.is_none_or(|holder| usize::from(holder) < map.holders.len());
+            let known = holding.holder.is_none_or(|holder| usize::from(holder) < map.holders.len());
             let Span { first, last } = holding.span;
             if u32::from(first) != next || last < first || !known {
                 return Err(Error::Gap);
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -114,6 +114,8 @@
     Fenced,
     /// The target refused.
     Refused,
+    /// Another target answers at the address: the one that was meant has ended.
+    Ended,
 }
 
 /// What came of a write.
@@ -206,6 +208,8 @@
     contacts: BTreeMap<Life, Contact>,
     moves: Vec<Move>,
     handovers: BTreeMap<Span, SmolStr>,
+    /// Runs of targets that hold keys by the map and are proved to have ended.
+    ended: BTreeSet<Life>,
     /// The map that is being written.
     writing: Option<Map>,
     /// Maps whose write had no answer and that the store may still take.
@@ -239,6 +243,7 @@
             contacts: BTreeMap::new(),
             moves: Vec::new(),
             handovers: BTreeMap::new(),
+            ended: BTreeSet::new(),
             writing: None,
             doubtful: Vec::new(),
             unread: false,
@@ -264,6 +269,19 @@
         self.unread
     }
 
+    /// Notes the proof that a run of a target has ended.
+    pub fn end(&mut self, life: &Life) {
+        if self.map.holders.iter().any(|holder| holder.life == *life) {
+            self.ended.insert(life.clone());
+            self.ledger.end(life);
+        }
+    }
+
+    /// Tells whether a holder of keys is proved to have ended.
+    fn has_ended(&self, registry: &Registry, holder: &Holder) -> bool {
+        self.ended.contains(&holder.life) || registry.has_ended(&holder.life, holder.address)
+    }
+
     /// Looks at everything and returns what to do.
     pub fn step(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
         self.ledger.expire(now);
@@ -300,8 +318,7 @@
             return actions;
         }
         for holder in self.map.holders.clone() {
-            if registry.has_ended(&holder.life, holder.address) || !self.may_order(registry, &holder)
-            {
+            if self.has_ended(registry, &holder) || !self.may_order(registry, &holder) {
                 continue;
             }
             let grants = self.due_grants(&holder.life, now);
@@ -355,9 +372,8 @@
         let moving = self.moves.iter().map(|moving| moving.span);
         let writes = self.writing.iter().chain(&self.doubtful);
         let given = writes.flat_map(|map| {
-            let foreign = |holding: &&Holding| {
-                map.holder(holding).is_none_or(|holder| holder.life != *life)
-            };
+            let foreign =
+                |holding: &&Holding| map.holder(holding).is_none_or(|holder| holder.life != *life);
             map.holdings.iter().filter(foreign).map(|holding| holding.span)
         });
         moving.chain(given).fold(vec![span], |parts, gone| {
@@ -394,6 +410,10 @@
                 }
                 Outcome::Unsent => failed = true,
                 Outcome::Refused => failed = true,
+                Outcome::Ended => {
+                    failed = true;
+                    self.end(life);
+                }
                 Outcome::Fenced => fenced = true,
             }
         }
@@ -525,8 +545,11 @@
                 self.ledger.remove(life, span);
                 self.moves[at].step = Step::Released(handover);
             }
-            Err(_) => {
+            Err(outcome) => {
                 self.moves.remove(at);
+                if outcome == Outcome::Ended {
+                    self.end(life);
+                }
                 // The target may have obeyed, so what it holds is granted anew.
                 let contact = self.contacts.entry(life.clone()).or_default();
                 contact.fences.retain(|known, _| !known.overlaps(span));
@@ -605,6 +628,9 @@
                 let later = self.later_run(registry, holding);
                 let held = self.ledger.is_held_by_another(later.as_ref(), holding.span, now);
                 let usable = self.map.holder(holding).is_some_and(|holder| {
+                    if self.has_ended(registry, holder) {
+                        return false;
+                    }
                     let known = registry.get(&holder.life.vm);
                     known.is_some_and(|known| {
                         known.listing.life() == holder.life
@@ -621,9 +647,7 @@
         let mut changed = false;
         for span in free {
             let to = self.receiver(registry, None, map, span, now);
-            let to = to.filter(|to| {
-                !self.ledger.is_held_by_another(Some(&to.life), span, now)
-            });
+            let to = to.filter(|to| !self.ledger.is_held_by_another(Some(&to.life), span, now));
             if let Some(to) = to {
                 map.assign(span, Some(to));
                 changed = true;
@@ -653,9 +677,9 @@
     /// Tells whether orders to a target failed and the list has shown no sign of life since.
     fn is_silent(&self, registry: &Registry, life: &Life) -> bool {
         let version = registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
-        self.contacts.get(life).is_some_and(|contact| {
-            contact.failures >= SILENT_AFTER && version <= contact.failed_at
-        })
+        self.contacts
+            .get(life)
+            .is_some_and(|contact| contact.failures >= SILENT_AFTER && version <= contact.failed_at)
     }
 
     /// Returns who gets keys: the target that was meant, or else the least loaded.
@@ -671,6 +695,7 @@
             .ready(registry, now)
             .map(holder)
             .filter(|holder| !self.is_silent(registry, &holder.life))
+            .filter(|holder| !self.ended.contains(&holder.life))
             .collect();
         let meant = meant.and_then(|life| ready.iter().find(|holder| holder.life == *life));
         if let Some(holder) = meant {
@@ -742,6 +767,7 @@
         let lives: BTreeSet<&Life> = map.holders.iter().map(|holder| &holder.life).collect();
         self.contacts.retain(|life, contact| contact.busy || lives.contains(life));
         self.doubtful.clear();
+        self.ended.retain(|life| lives.contains(life));
         self.map = map;
     }
 }
--- /dev/null
+++ b/crates/hold/tests/planner.rs
@@ -0,0 +1,325 @@
+//! Single rules of the planner, each by the case in which it matters.
+
+use {
+    hold::{
+        Action, Life, Listing, Map, Planner, Registry, Span,
+        list::State,
+        planner::{Config, Grant, Outcome, Written},
+    },
+    key::{Service, Version, Vm, Zone, clock::Tick},
+    smol_str::SmolStr,
+    std::time::Duration,
+};
+
+const HOLD_MS: u64 = 4_000;
+const RIGHT_MS: u64 = 6_000;
+
+fn at(ms: u64) -> Tick {
+    Tick::from(1_000_000 + ms * 1_000)
+}
+
+fn config() -> Config {
+    Config {
+        hold: Duration::from_millis(HOLD_MS),
+        renew: Duration::from_millis(1_000),
+        order_timeout: Duration::from_millis(400),
+        margin: Duration::from_millis(300),
+        right: Duration::from_millis(RIGHT_MS),
+    }
+}
+
+fn listing(number: u8, born: u64, state: State) -> Listing {
+    Listing {
+        vm: Vm::from(format!("t{number}").as_str()),
+        born,
+        service: Service::from("keyed"),
+        address: ([10, 0, 0, number], 80).into(),
+        zone: Zone::from("a"),
+        slots: 2,
+        state,
+        cold_ms: 0,
+    }
+}
+
+/// A planner with a store that takes every write, and targets that obey.
+struct Bench {
+    planner: Planner,
+    registry: Registry,
+    now_ms: u64,
+    version: u64,
+}
+
+impl Bench {
+    fn new(targets: u8) -> Self {
+        let mut registry = Registry::default();
+        for number in 1..=targets {
+            let version = Version::from(u64::from(number));
+            registry.list(listing(number, 1, State::Ready), version, at(0));
+        }
+        let planner = Planner::new(Service::from("keyed"), config(), None, at(0));
+        let mut bench = Self { planner, registry, now_ms: 0, version: 100 };
+        bench.settle();
+        bench
+    }
+
+    fn step(&mut self, ms: u64) -> Vec<Action> {
+        self.now_ms += ms;
+        self.planner.step(&self.registry, at(self.now_ms))
+    }
+
+    fn list(&mut self, listing: Listing) {
+        self.version += 1;
+        self.registry.list(listing, Version::from(self.version), at(self.now_ms));
+    }
+
+    fn write(&mut self) {
+        self.version += 1;
+        self.planner.written(Written::Done(Version::from(self.version)));
+    }
+
+    fn answer(&mut self, life: &Life, grants: &[Grant], outcome: Outcome) {
+        let results: Vec<_> = grants.iter().map(|grant| (grant.clone(), outcome)).collect();
+        let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
+        self.planner.granted(life, &results, version, at(self.now_ms));
+    }
+
+    /// Carries out everything until nothing is left to do.
+    fn settle(&mut self) {
+        for _ in 0..20 {
+            let actions = self.step(10);
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    Action::Write(_) => self.write(),
+                    Action::Grant { life, grants, .. } => {
+                        self.answer(&life, &grants, Outcome::Granted);
+                    }
+                    Action::Release { life, span, .. } => {
+                        self.planner.released(&life, span, Ok(Some(SmolStr::from("warm"))));
+                    }
+                }
+            }
+        }
+    }
+
+    fn holder(&self, key: u16) -> Option<Life> {
+        let map = self.planner.map();
+        let holding = map.holding(key)?;
+        Some(map.holder(holding)?.life.clone())
+    }
+}
+
+fn life(number: u8, born: u64) -> Life {
+    Life { vm: Vm::from(format!("t{number}").as_str()), born }
+}
+
+fn grants(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Grant { .. })).count()
+}
+
+fn releases(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Release { .. })).count()
+}
+
+#[test]
+fn every_key_gets_a_holder_at_the_start() {
+    let bench = Bench::new(3);
+    assert!((0..=u16::MAX).step_by(997).all(|key| bench.holder(key).is_some()));
+}
+
+#[test]
+fn keys_of_a_leaving_target_are_handed_over() {
+    let mut bench = Bench::new(2);
+    bench.list(listing(1, 1, State::Leaving));
+    bench.settle();
+    let all = (0..=u16::MAX).step_by(997).all(|key| bench.holder(key) == Some(life(2, 1)));
+    assert!(all, "{:?}", bench.planner.map());
+}
+
+#[test]
+fn nothing_is_taken_back_while_a_grant_is_on_its_way() {
+    let mut bench = Bench::new(2);
+    let renewals = bench.step(1_000);
+    assert_eq!(grants(&renewals), 2);
+    bench.list(listing(1, 1, State::Leaving));
+    assert_eq!(releases(&bench.step(10)), 0);
+    for action in renewals {
+        if let Action::Grant { life, grants, .. } = action {
+            bench.answer(&life, &grants, Outcome::Granted);
+        }
+    }
+    assert!(releases(&bench.step(10)) > 0);
+}
+
+#[test]
+fn a_lost_grant_is_voided_by_a_new_fence_before_keys_are_taken_back() {
+    let mut bench = Bench::new(2);
+    let before = bench.planner.map().held_by(&life(1, 1)).map(|holding| holding.fence).max();
+    for action in bench.step(1_000) {
+        if let Action::Grant { life: to, grants, .. } = action {
+            let outcome = if to == life(1, 1) { Outcome::Lost } else { Outcome::Granted };
+            bench.answer(&to, &grants, outcome);
+        }
+    }
+    bench.list(listing(1, 1, State::Leaving));
+    let actions = bench.step(10);
+    assert_eq!(releases(&actions), 0, "{actions:?}");
+    assert!(actions.iter().any(|action| matches!(action, Action::Write(_))), "{actions:?}");
+    bench.write();
+    let renewed = bench.planner.map().held_by(&life(1, 1)).map(|holding| holding.fence).min();
+    assert!(renewed > before);
+    bench.settle();
+    assert_eq!(bench.holder(0), Some(life(2, 1)));
+}
+
+#[test]
+fn keys_of_a_silent_target_wait_until_its_grants_have_run_out() {
+    let mut bench = Bench::new(2);
+    for action in bench.step(1_000) {
+        if let Action::Grant { life: to, grants, .. } = action {
+            let outcome = if to == life(1, 1) { Outcome::Lost } else { Outcome::Granted };
+            bench.answer(&to, &grants, outcome);
+        }
+    }
+    bench.registry.remove(&Vm::from("t1"), at(bench.now_ms));
+    bench.now_ms += HOLD_MS - 500;
+    bench.settle();
+    assert_eq!(bench.holder(0), Some(life(1, 1)));
+    bench.now_ms += 2_000;
+    bench.settle();
+    assert_eq!(bench.holder(0), Some(life(2, 1)));
+}
+
+#[test]
+fn keys_of_a_target_that_is_proved_to_have_ended_move_at_once() {
+    struct Case {
+        name: &'static str,
+        end: fn(&mut Bench),
+        holder: Life,
+    }
+    let cases = [
+        Case {
+            name: "another target answers there",
+            end: |bench| bench.planner.end(&life(1, 1)),
+            holder: life(2, 1),
+        },
+        Case {
+            name: "it started anew under its name",
+            end: |bench| bench.list(listing(1, 2, State::Ready)),
+            holder: life(1, 2),
+        },
+        Case {
+            name: "its address belongs to a later target",
+            end: |bench| {
+                let moved =
+                    Listing { address: ([10, 0, 0, 1], 80).into(), ..listing(3, 9, State::Ready) };
+                bench.registry.remove(&Vm::from("t1"), at(bench.now_ms));
+                bench.list(Listing { service: Service::from("other"), ..moved });
+            },
+            holder: life(2, 1),
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new(2);
+        (case.end)(&mut bench);
+        bench.settle();
+        assert_eq!(bench.holder(0), Some(case.holder), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_doubtful_write_is_superseded_and_nothing_it_gives_away_is_granted() {
+    let mut bench = Bench::new(2);
+    bench.planner.end(&life(1, 1));
+    let actions = bench.step(10);
+    assert!(actions.iter().any(|action| matches!(action, Action::Write(_))), "{actions:?}");
+    bench.planner.written(Written::Unknown);
+    assert!(bench.planner.wants_reading());
+    let while_unread = bench.step(1_000);
+    let to_former = while_unread
+        .iter()
+        .any(|action| matches!(action, Action::Grant { life: to, .. } if *to == life(1, 1)));
+    assert!(!to_former, "{while_unread:?}");
+    let row = bench.planner.map().clone();
+    bench.planner.read(row);
+    let again = bench.step(10);
+    assert!(again.iter().any(|action| matches!(action, Action::Write(_))), "{again:?}");
+}
+
+#[test]
+fn a_new_leader_orders_nothing_before_its_own_fences_are_written() {
+    let first = Bench::new(2);
+    let bytes = first.planner.map().to_bytes();
+    let map = Map::parse(&bytes, Version::from(200)).expect("a whole map");
+    let mut next = Planner::new(Service::from("keyed"), config(), Some(map), at(9_000));
+    let actions = next.step(&first.registry, at(9_000));
+    assert_eq!(grants(&actions), 0, "{actions:?}");
+    assert!(matches!(actions.as_slice(), [Action::Write(_)]));
+    next.written(Written::Done(Version::from(300)));
+    let actions = next.step(&first.registry, at(9_010));
+    assert_eq!(grants(&actions), 2, "{actions:?}");
+}
+
+#[test]
+fn a_failed_release_leaves_the_target_in_use() {
+    let mut bench = Bench::new(2);
+    bench.list(listing(1, 1, State::Leaving));
+    let released = bench.step(10).into_iter().find_map(|action| match action {
+        Action::Release { life, span, .. } => Some((life, span)),
+        _ => None,
+    });
+    let (from, span) = released.expect("a release");
+    bench.planner.released(&from, span, Err(Outcome::Lost));
+    let actions = bench.step(10);
+    let granted = actions.iter().any(|action| match action {
+        Action::Grant { life, grants, .. } => {
+            *life == from && grants.iter().any(|grant| grant.span.overlaps(span))
+        }
+        Action::Release { life, span: other, .. } => *life == from && *other == span,
+        Action::Write(_) => false,
+    });
+    assert!(granted, "{actions:?}");
+}
+
+#[test]
+fn spans_split_without_loss() {
+    struct Case {
+        whole: Span,
+        part: Span,
+        rest: [Option<Span>; 2],
+    }
+    let span = |first, last| Span { first, last };
+    let cases = [
+        Case { whole: span(0, 9), part: span(3, 5), rest: [Some(span(0, 2)), Some(span(6, 9))] },
+        Case { whole: span(0, 9), part: span(0, 9), rest: [None, None] },
+        Case { whole: span(0, 9), part: span(0, 3), rest: [None, Some(span(4, 9))] },
+        Case { whole: span(4, 9), part: span(0, 6), rest: [None, Some(span(7, 9))] },
+        Case { whole: span(0, 3), part: span(4, 9), rest: [Some(span(0, 3)), None] },
+        Case {
+            whole: Span::ALL,
+            part: span(u16::MAX, u16::MAX),
+            rest: [Some(span(0, u16::MAX - 1)), None],
+        },
+    ];
+    for case in cases {
+        assert_eq!(case.whole.without(case.part), case.rest, "{:?} - {:?}", case.whole, case.part);
+    }
+}
+
+#[test]
+fn rows_that_are_no_whole_map_are_refused() {
+    let whole = Map::vacant().to_bytes();
+    assert!(Map::parse(&whole, Version::from(1)).is_ok());
+    let cases: [&[u8]; 5] = [
+        b"",
+        b"{}",
+        br#"{"holders":[],"holdings":[]}"#,
+        br#"{"holders":[],"holdings":[{"span":{"first":1,"last":65535},"holder":null,"fence":0}]}"#,
+        br#"{"holders":[],"holdings":[{"span":{"first":0,"last":65535},"holder":4,"fence":0}]}"#,
+    ];
+    for text in cases {
+        assert!(Map::parse(text, Version::from(1)).is_err(), "{}", String::from_utf8_lossy(text));
+    }
+}
--- a/crates/hold/tests/sim/mod.rs
+++ b/crates/hold/tests/sim/mod.rs
@@ -70,13 +70,48 @@
     Tick(usize),
     Beat(usize),
     Fault,
-    Granting { leader: usize, vm: usize, life: Life, link: u64, grants: Vec<Grant>, done: Vec<(Grant, Outcome)> },
-    Apply { vm: usize, run: u64, grant: Grant, arrived: u64 },
-    Granted { leader: usize, life: Life, results: Vec<(Grant, Outcome)>, link: Option<u64> },
-    Releasing { leader: usize, vm: usize, life: Life, span: Span },
-    Released { leader: usize, life: Life, span: Span, result: Result<Option<SmolStr>, Outcome> },
-    Write { leader: usize, lead: u64, map: Map, answer: bool },
-    Written { leader: usize, result: Written },
+    Granting {
+        leader: usize,
+        vm: usize,
+        life: Life,
+        link: u64,
+        grants: Vec<Grant>,
+        done: Vec<(Grant, Outcome)>,
+    },
+    Apply {
+        vm: usize,
+        run: u64,
+        grant: Grant,
+        arrived: u64,
+    },
+    Granted {
+        leader: usize,
+        life: Life,
+        results: Vec<(Grant, Outcome)>,
+        link: Option<u64>,
+    },
+    Releasing {
+        leader: usize,
+        vm: usize,
+        life: Life,
+        span: Span,
+    },
+    Released {
+        leader: usize,
+        life: Life,
+        span: Span,
+        result: Result<Option<SmolStr>, Outcome>,
+    },
+    Write {
+        leader: usize,
+        lead: u64,
+        map: Map,
+        answer: bool,
+    },
+    Written {
+        leader: usize,
+        result: Written,
+    },
     Back(usize),
     /// The store has had no sign of life under a name for a while.
     Lapse(Vm),
@@ -352,8 +387,7 @@
                 };
                 if let Some(link) = link {
                     let done = Vec::new();
-                    let granting =
-                        Event::Granting { leader: index, vm, life, link, grants, done };
+                    let granting = Event::Granting { leader: index, vm, life, link, grants, done };
                     self.push(1, granting);
                 } else {
                     let results = grants.into_iter().map(|grant| (grant, Outcome::Unsent));
--- a/crates/hold/tests/sim/target.rs
+++ b/crates/hold/tests/sim/target.rs
@@ -68,15 +68,13 @@
 
     /// Obeys a grant that arrived at `arrived`, unless a higher fence was seen.
     pub fn apply(&mut self, grant: &Grant, arrived: u64, hold_ms: u64, now: u64) -> bool {
-        let higher = |(span, fence): &(Span, Fence)| {
-            span.overlaps(grant.span) && *fence > grant.fence
-        };
+        let higher =
+            |(span, fence): &(Span, Fence)| span.overlaps(grant.span) && *fence > grant.fence;
         if self.fences.iter().any(higher) {
             return false;
         }
-        let used = |(span, fence): &(Span, Fence)| {
-            span.overlaps(grant.span) && *fence >= grant.fence
-        };
+        let used =
+            |(span, fence): &(Span, Fence)| span.overlaps(grant.span) && *fence >= grant.fence;
         if self.before.iter().any(used) {
             self.stale.push(format!("{now} ms: {} took fence {} again", self.name(), grant.fence));
         }
--- a/crates/own/src/guardian.rs
+++ b/crates/own/src/guardian.rs
@@ -14,12 +14,12 @@
     },
     conf::services::Fencing,
     key::{Process, Shard, Vm, clock::Tick},
-    store::vms,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
         time::Duration,
     },
+    store::vms,
 };
 
 /// The time between two questions to a process that has not acknowledged its stop.
--- a/crates/own/src/node/event.rs
+++ b/crates/own/src/node/event.rs
@@ -10,16 +10,16 @@
     },
     conf::services::Text,
     key::{Process, Service, Shard, Stamp, Version, Vm, clock::Tick},
-    store::{
-        Commit,
-        table::{self, Condition, Transaction},
-        vms::Listed,
-    },
     smol_str::SmolStr,
     std::{
         collections::{BTreeSet, HashMap},
         sync::Arc,
     },
+    store::{
+        Commit,
+        table::{self, Condition, Transaction},
+        vms::Listed,
+    },
 };
 
 /// What an answer refers to.
--- a/crates/own/src/node/view.rs
+++ b/crates/own/src/node/view.rs
@@ -7,12 +7,12 @@
     },
     conf::services::{Fencing, Isolation, Keyed, Text},
     key::{Process, Service, Shard, Vm, Zone, clock::Tick},
-    store::vms::{Listed, State},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
         time::Duration,
     },
+    store::vms::{Listed, State},
 };
 
 /// How a node is set up.
--- a/crates/own/tests/bench/mod.rs
+++ b/crates/own/tests/bench/mod.rs
@@ -9,11 +9,11 @@
         lease::{Answer, Holder, Offer, Terms},
         stop,
     },
+    std::{sync::Arc, time::Duration},
     store::{
         Commit,
         vms::{Listed, State},
     },
-    std::{sync::Arc, time::Duration},
 };
 
 pub const TERMS: Terms = Terms {
--- a/crates/own/tests/rules.rs
+++ b/crates/own/tests/rules.rs
@@ -11,8 +11,8 @@
         lease::{Held, Holder, Offer, Verdict, digest},
         stop,
     },
-    store::Commit,
     std::time::Duration,
+    store::Commit,
 };
 
 #[test]
--- a/crates/own/tests/sim/faults.rs
+++ b/crates/own/tests/sim/faults.rs
@@ -8,9 +8,9 @@
         Config, Event, Node,
         lease::{Holder, Terms},
     },
-    store::vms::State,
     rand::Rng,
     std::{sync::Arc, time::Duration},
+    store::vms::State,
 };
 
 impl Sim {
--- a/crates/own/tests/sim/mod.rs
+++ b/crates/own/tests/sim/mod.rs
@@ -15,10 +15,6 @@
         lease::{Holder, Offer},
         stop,
     },
-    store::{
-        Commit,
-        vms::{ENTRY_ROLE, Listed, State},
-    },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         cmp::Reverse,
@@ -26,6 +22,10 @@
         sync::Arc,
         time::Duration,
     },
+    store::{
+        Commit,
+        vms::{ENTRY_ROLE, Listed, State},
+    },
 };
 
 pub const SHARDS: u32 = 12;
--- a/crates/own/tests/sim/network.rs
+++ b/crates/own/tests/sim/network.rs
@@ -10,13 +10,13 @@
         cell::Target as Address,
         lease::{Answer, Offer},
     },
+    rand::Rng,
+    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
     store::{
         Commit,
         table::{self, Condition},
         vms::{Listed, State},
     },
-    rand::Rng,
-    std::{cmp::Reverse, collections::BTreeMap, time::Duration},
 };
 
 impl Sim {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,10 +7,6 @@
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     key::{Version, clock::Tick},
-    store::{
-        table::{Answer, Row, Scan, Transaction},
-        vms::{List, Listed},
-    },
     rand::Rng,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
@@ -19,6 +15,10 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
+    store::{
+        table::{Answer, Row, Scan, Transaction},
+        vms::{List, Listed},
+    },
     tokio::{net::TcpListener, time},
 };
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -3,15 +3,15 @@
 
 use {
     key::{Incarnation, Version, Vm},
-    store::{
-        Client, Commit, Config, ErrorKind,
-        table::{Condition, Transaction, Write},
-    },
     standin::{
         journal::Journal,
         platform::{Fault, Platform},
     },
     std::{sync::Arc, time::Duration},
+    store::{
+        Client, Commit, Config, ErrorKind,
+        table::{Condition, Transaction, Write},
+    },
     tokio::net::TcpListener,
 };
 
--- a/crates/trial/src/bin/measure/outage.rs
+++ b/crates/trial/src/bin/measure/outage.rs
@@ -3,10 +3,10 @@
 use {
     crate::stats,
     key::clock::Tick,
-    store::vms::State,
     serde_json::json,
     standin::journal::Kind,
     std::time::{Duration, Instant},
+    store::vms::State,
     tokio::time::sleep,
     trial::{Fleet, KEYED, Load, Plan, eventually},
 };
--- a/crates/trial/src/bin/measure/slopes.rs
+++ b/crates/trial/src/bin/measure/slopes.rs
@@ -10,16 +10,16 @@
         cell::Target,
         lease::{Answer, Holder, Terms},
     },
-    store::{
-        Commit,
-        vms::{Listed, State},
-    },
     stats_alloc::Region,
     std::{
         collections::HashMap,
         sync::Arc,
         time::{Duration, Instant},
     },
+    store::{
+        Commit,
+        vms::{Listed, State},
+    },
     tokio::time::sleep,
     trial::{Fleet, Plan},
 };
--- a/crates/trial/src/faults.rs
+++ b/crates/trial/src/faults.rs
@@ -6,7 +6,6 @@
         fleet::{local, merge, zone_name},
         process::Process,
     },
-    store::vms::{ENTRY_ROLE, Listed, State},
     serde_json::{Value, json},
     standin::{
         platform::Fault as PlatformFault,
@@ -18,6 +17,7 @@
         process::ExitStatus,
         time::Duration,
     },
+    store::vms::{ENTRY_ROLE, Listed, State},
 };
 
 impl Fleet {
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -6,7 +6,6 @@
         process::{Process, free_port},
     },
     key::{Incarnation, Vm, Zone},
-    store::vms::{ENTRY_ROLE, Listed, State},
     serde_json::{Value, json},
     standin::{
         journal::{self, Journal, Line},
@@ -21,6 +20,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    store::vms::{ENTRY_ROLE, Listed, State},
     tokio::{
         net::TcpListener,
         sync::{OwnedSemaphorePermit, Semaphore},
--- a/crates/trial/tests/configuration.rs
+++ b/crates/trial/tests/configuration.rs
@@ -3,9 +3,9 @@
 use {
     entry::Conflict,
     peer::{Error, Hello, PROTOCOL, Refused, Versioned},
-    store::vms::State,
     standin::platform::Fault as PlatformFault,
     std::{collections::BTreeMap, time::Duration},
+    store::vms::State,
     trial::{Fleet, Plan, eventually},
 };
 
--- a/crates/trial/tests/outage.rs
+++ b/crates/trial/tests/outage.rs
@@ -1,10 +1,10 @@
 //! The platform down, and availability zones cut off.
 
 use {
-    store::vms::State,
     serde_json::json,
     standin::platform::Fault as PlatformFault,
     std::time::{Duration, Instant},
+    store::vms::State,
     tokio::time::sleep,
     trial::{Fleet, KEYED, Load, Plan, Seen, eventually},
 };
--- a/crates/trial/tests/ownership.rs
+++ b/crates/trial/tests/ownership.rs
@@ -1,10 +1,10 @@
 //! One owner at a time, with real processes.
 
 use {
-    store::vms::State,
     serde_json::json,
     standin::{platform::Fault as PlatformFault, proxy::Fault},
     std::time::Duration,
+    store::vms::State,
     tokio::time::sleep,
     trial::{Fleet, KEYED, Load, Plan, eventually},
 };
