Follow the list by long polls; leave a target alone for a while after a failure

Found by the new line of the log on the planner's state (kind 'balance'). Change: after a failure a target is left alone for 0.8 s and then gets new fences; a grant counts as held while it is being sent and not at all if it was not sent; the list is followed by long polls, as its entries change rarely. The model's list no longer shows signs of life.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -14,10 +14,6 @@
 /// The pause after a call that got no answer.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// The time between two looks at the list of targets. Each target writes there about once in this
-/// time, so that waiting for a change would mean a call for each sign of life.
-const LIST_EVERY: Duration = Duration::from_millis(800);
-
 /// Counts the outages of the store that have ended. A question that was waiting during one may never
 /// be answered, so each change asks all of them anew.
 pub(crate) type Outages = watch::Receiver<u64>;
@@ -104,21 +100,18 @@
         answered(true);
         let mut version = rows.version;
         send(&inputs, Input::Targets { rows: rows.rows, whole: true }).await;
-        let mut pause = LIST_EVERY;
         loop {
-            time::sleep(pause).await;
-            match store.changes(Table::Targets, version).await {
+            match store.watch(Table::Targets, version).await {
                 Ok(rows) => {
                     answered(true);
-                    pause = LIST_EVERY;
                     version = rows.version;
                     send(&inputs, Input::Targets { rows: rows.rows, whole: false }).await;
                 }
                 Err(Error::Forgotten) => break,
                 Err(Error::Unavailable) => {
                     answered(false);
-                    pause = PAUSE;
                     send(&inputs, Input::TargetsSilent).await;
+                    time::sleep(PAUSE).await;
                 }
             }
         }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -35,6 +35,9 @@
 /// The time for which the store holds a question back until something has changed.
 const STORE_WAIT: Duration = Duration::from_secs(20);
 
+/// The same for the list of targets, which also shows whether the store answers.
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
+
 /// What the control thread is started with.
 pub(crate) struct Seat {
     pub(crate) me: Process,
@@ -56,13 +59,14 @@
     tokio::task::spawn_local(peers::serve(listener, sender.clone()));
     let (ended, outages) = watch::channel(0);
     let feed = (store.clone(), sender.clone());
+    let list = Store::new(seat.shared.settings.store, STORE_TIMEOUT, LIST_WAIT);
     tokio::task::spawn_local(feeds::follow_operator(
         feed.0.clone(),
         feed.1.clone(),
         outages.clone(),
     ));
-    tokio::task::spawn_local(feeds::follow_own(feed.0.clone(), feed.1.clone(), outages));
-    tokio::task::spawn_local(feeds::follow_targets(feed.0, feed.1, ended));
+    tokio::task::spawn_local(feeds::follow_own(feed.0, feed.1.clone(), outages));
+    tokio::task::spawn_local(feeds::follow_targets(list, feed.1, ended));
     let mut state = State::new(seat.me, seat.shared, store, sender);
     state.join();
     let mut ticks = time::interval(TICK);
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -43,6 +43,9 @@
 /// The time for which targets are gathered before keys are given out for the first time.
 const GATHER: Duration = Duration::from_millis(1_200);
 
+/// The time between two lines of the log on the state of the planners.
+const SUM_EVERY: Duration = Duration::from_secs(1);
+
 /// The silence after which an entry is no longer counted.
 const ENTRY_SILENCE: Duration = Duration::from_secs(2);
 
@@ -53,6 +56,8 @@
     confirming: Option<Tick>,
     /// Whether all rows have been read since this process leads.
     ready: bool,
+    /// When the state of the planners was last logged.
+    summed: Tick,
     planners: BTreeMap<Service, Planner>,
     links: Links<Link>,
     reports: HashMap<Vm, Tick>,
@@ -69,6 +74,13 @@
     outcome: &'a str,
 }
 
+#[derive(Serialize)]
+struct Balance<'a> {
+    service: &'a Service,
+    #[serde(flatten)]
+    summary: planner::Summary,
+}
+
 #[derive(Serialize)]
 struct Planned<'a> {
     service: &'a str,
@@ -87,6 +99,7 @@
             confirmed: now,
             confirming: None,
             ready: false,
+            summed: now,
             planners: BTreeMap::new(),
             links: Links::default(),
             reports: HashMap::new(),
@@ -157,6 +170,13 @@
             .iter_mut()
             .map(|(service, planner)| (service.clone(), planner.step(registry, now)))
             .collect();
+        if now.since(leading.summed) >= SUM_EVERY {
+            leading.summed = now;
+            for (service, planner) in &leading.planners {
+                let summary = planner.summary(registry, now);
+                self.shared.journal.note("balance", &Balance { service, summary });
+            }
+        }
         for (service, actions) in steps {
             for action in actions {
                 self.carry_out(&service, action, now);
@@ -214,7 +234,6 @@
     }
 
     fn grant(&mut self, service: Service, life: Life, address: SocketAddr, grants: Vec<Grant>) {
-        let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
         let Some(leading) = &mut self.leading else { return };
         let way = match leading.links.take(&life, |link| !link.is_closed()) {
             links::Way::Open(link) => Way::Open(link),
@@ -223,7 +242,7 @@
                 let unsent: Vec<_> =
                     grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
                 if let Some(planner) = leading.planners.get_mut(&service) {
-                    planner.granted(&life, &unsent, version, Tick::now());
+                    planner.granted(&life, &unsent, Tick::now());
                 }
                 return;
             }
@@ -243,7 +262,6 @@
         link: Option<Link>,
         now: Tick,
     ) {
-        let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
         for (grant, outcome) in results {
             if *outcome != Outcome::Granted {
                 let outcome = format!("{outcome:?}");
@@ -255,7 +273,7 @@
             leading.links.give_back(life, link);
         }
         let Some(planner) = leading.planners.get_mut(service) else { return };
-        if planner.granted(life, results, version, now) {
+        if planner.granted(life, results, now) {
             self.read_own(now);
         }
     }
--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -122,6 +122,13 @@
         .collect()
 }
 
+/// Returns the load of a target as a part of its slots.
+#[must_use]
+pub fn utilisation(map: &Map, load: &Load, candidate: &Candidate) -> f64 {
+    let rates = map.held_by(&candidate.life).map(|holding| load.rate(holding.span));
+    rates.sum::<f64>() * load.cost(candidate)
+}
+
 /// Chooses what to move so that the busiest targets get less to do, at most `limit` spans.
 #[must_use]
 pub fn shifts(map: &Map, load: &Load, candidates: &[Candidate], limit: usize) -> Vec<Shift> {
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -19,9 +19,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     entries: Vec<Entry>,
+    /// Grants that are being sent.
+    orders: Vec<(Life, Span)>,
 }
 
 impl Ledger {
+    /// Notes that a grant is being sent.
+    pub fn begin(&mut self, life: &Life, span: Span) {
+        self.orders.push((life.clone(), span));
+    }
+
+    /// Notes that the result of a grant is known; what it means is noted apart.
+    pub fn end_of_order(&mut self, life: &Life, span: Span) {
+        self.orders.retain(|(target, sent)| target != life || *sent != span);
+    }
+
     /// Notes that a target may hold keys until some moment, or longer if it is noted already.
     pub fn extend(&mut self, life: &Life, span: Span, until: Tick) {
         let same = |entry: &&mut Entry| entry.life == *life && entry.span == span;
@@ -74,11 +86,6 @@
     pub fn is_held_by_another(&self, life: Option<&Life>, span: Span, now: Tick) -> bool {
         self.entries.iter().any(|entry| {
             entry.until > now && entry.span.overlaps(span) && Some(&entry.life) != life
-        })
-    }
-
-    /// Returns the runs of targets that may hold keys.
-    pub fn lives(&self) -> impl Iterator<Item = &Life> {
-        self.entries.iter().map(|entry| &entry.life)
+        }) || self.orders.iter().any(|(target, sent)| sent.overlaps(span) && Some(target) != life)
     }
 }
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -19,6 +19,7 @@
         map::{Holder, Holding, Life, Map, Span},
     },
     key::{Fence, Service, Version, clock::Tick},
+    serde::Serialize,
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -39,6 +40,9 @@
 /// The most releases at a time by one target that is leaving.
 const MOVES_EACH: usize = 4;
 
+/// The time for which a target is left alone after an order to it failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(800);
+
 /// The failures of orders in a row after which a target counts as silent.
 const SILENT_AFTER: u32 = 2;
 
@@ -129,6 +133,27 @@
     Unknown,
 }
 
+/// What keeps a planner busy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Summary {
+    /// The spans of the map.
+    pub holdings: usize,
+    /// The runs of targets that hold keys by the map.
+    pub holders: usize,
+    /// The targets that may give keys away or take some.
+    pub candidates: usize,
+    /// The spans that are being taken back.
+    pub releasing: usize,
+    /// The spans that were taken back and not yet given on.
+    pub released: usize,
+    /// Whether the row is being written.
+    pub writing: bool,
+    /// The writes that may still take effect.
+    pub doubtful: usize,
+    /// The load of the busiest target, in percent of its slots.
+    pub busiest_percent: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Step {
     Releasing,
@@ -165,8 +190,8 @@
     /// Grants that may still be obeyed.
     lost: Vec<Lost>,
     failures: u32,
-    /// The version of the target's entry in the list when it last failed.
-    failed_at: Version,
+    /// When an order last failed.
+    failed: Tick,
 }
 
 impl Contact {
@@ -185,6 +210,11 @@
         }
     }
 
+    /// Tells whether an order may be sent now.
+    fn may_order(&self, now: Tick) -> bool {
+        !self.busy && (self.failures == 0 || now.since(self.failed) >= FAILURE_PAUSE)
+    }
+
     /// Tells whether a grant without an answer may still be obeyed.
     fn may_obey(&self, now: Tick) -> bool {
         self.lost.iter().any(|grant| grant.until > now)
@@ -258,6 +288,27 @@
         &self.map
     }
 
+    /// Returns what keeps the planner busy, for people.
+    #[must_use]
+    pub fn summary(&self, registry: &Registry, now: Tick) -> Summary {
+        let candidates = self.candidates(registry, now);
+        let utilisation = candidates
+            .iter()
+            .map(|candidate| balance::utilisation(&self.map, &self.load, candidate));
+        let percent = |value: f64| (value * 100.0) as u32;
+        Summary {
+            holdings: self.map.holdings.len(),
+            holders: self.map.holders.len(),
+            candidates: candidates.len(),
+            releasing: self.moves.iter().filter(|moving| moving.step == Step::Releasing).count(),
+            released: self.moves.len()
+                - self.moves.iter().filter(|moving| moving.step == Step::Releasing).count(),
+            writing: self.writing.is_some(),
+            doubtful: self.doubtful.len(),
+            busiest_percent: utilisation.map(percent).max().unwrap_or(0),
+        }
+    }
+
     /// Returns the load that entries have reported.
     pub const fn load(&mut self) -> &mut Load {
         &mut self.load
@@ -318,19 +369,17 @@
             return actions;
         }
         for holder in self.map.holders.clone() {
-            if self.has_ended(registry, &holder) || !self.may_order(registry, &holder) {
+            if self.has_ended(registry, &holder) || !self.may_order(&holder, now) {
                 continue;
             }
             let grants = self.due_grants(&holder.life, now);
             if grants.is_empty() {
                 continue;
             }
-            let until = now.plus(self.config.order_timeout + self.config.longest());
-            let contact = self.contacts.entry(holder.life.clone()).or_default();
             for grant in &grants {
-                self.ledger.extend(&holder.life, grant.span, until);
-                contact.highest = contact.highest.max(grant.fence);
+                self.ledger.begin(&holder.life, grant.span);
             }
+            let contact = self.contacts.entry(holder.life.clone()).or_default();
             contact.busy = true;
             contact.sent = Some(now);
             actions.push(Action::Grant { life: holder.life, address: holder.address, grants });
@@ -338,11 +387,9 @@
         actions
     }
 
-    /// Tells whether orders may go to a target: one that has been silent must first show in the list
-    /// that it lives.
-    fn may_order(&self, registry: &Registry, holder: &Holder) -> bool {
-        let busy = self.contacts.get(&holder.life).is_some_and(|contact| contact.busy);
-        !busy && !self.is_silent(registry, &holder.life)
+    /// Tells whether orders may go to a target now: after a failure it is left alone for a while.
+    fn may_order(&self, holder: &Holder, now: Tick) -> bool {
+        self.contacts.get(&holder.life).is_none_or(|contact| contact.may_order(now))
     }
 
     fn due_grants(&self, life: &Life, now: Tick) -> Vec<Grant> {
@@ -383,17 +430,16 @@
 
     /// Takes the results of grants that were sent, in order, and tells whether another process
     /// seems to lead.
-    pub fn granted(
-        &mut self,
-        life: &Life,
-        results: &[(Grant, Outcome)],
-        version: Version,
-        now: Tick,
-    ) -> bool {
+    pub fn granted(&mut self, life: &Life, results: &[(Grant, Outcome)], now: Tick) -> bool {
         let until = now.plus(self.config.longest());
         let mut failed = false;
         let mut fenced = false;
         for (grant, outcome) in results {
+            self.ledger.end_of_order(life, grant.span);
+            if *outcome != Outcome::Unsent {
+                let contact = self.contacts.entry(life.clone()).or_default();
+                contact.highest = contact.highest.max(grant.fence);
+            }
             match outcome {
                 Outcome::Granted => {
                     self.ledger.replace(life, grant.span, until);
@@ -421,7 +467,7 @@
         contact.busy = false;
         if failed {
             contact.failures += 1;
-            contact.failed_at = version;
+            contact.failed = now;
             contact.barrier = contact.highest;
         } else {
             contact.failures = 0;
@@ -503,15 +549,7 @@
         let seconds = now.since(self.balanced).as_secs_f64();
         self.balanced = now;
         self.load.decay(seconds);
-        let candidates: Vec<Candidate> = self
-            .ready(registry, now)
-            .filter(|known| {
-                let life = known.listing.life();
-                self.can_release(&life, now)
-                    || (self.map.held_by(&life).next().is_none() && known.listing.cold_ms == 0)
-            })
-            .map(|known| Candidate { life: known.listing.life(), slots: known.listing.slots })
-            .collect();
+        let candidates = self.candidates(registry, now);
         balance::shifts(&self.map, &self.load, &candidates, MOVES)
             .into_iter()
             .map(|shift| Move {
@@ -523,6 +561,18 @@
             .collect()
     }
 
+    /// Returns the targets that may give keys away or take some.
+    fn candidates(&self, registry: &Registry, now: Tick) -> Vec<Candidate> {
+        self.ready(registry, now)
+            .filter(|known| {
+                let life = known.listing.life();
+                self.can_release(&life, now)
+                    || (self.map.held_by(&life).next().is_none() && known.listing.cold_ms == 0)
+            })
+            .map(|known| Candidate { life: known.listing.life(), slots: known.listing.slots })
+            .collect()
+    }
+
     fn ready<'a>(
         &'a self,
         registry: &'a Registry,
@@ -565,7 +615,7 @@
         }
         let mut changed = !self.refenced;
         if self.refenced {
-            changed |= self.renew_fences(registry, &mut map);
+            changed |= self.renew_fences(registry, &mut map, now);
             // Moves end together, so that one write carries all of them.
             let waits = self.moves.iter().any(|moving| moving.step == Step::Releasing);
             let departed = self.moves.iter().any(|moving| moving.to.is_none());
@@ -594,22 +644,15 @@
         Some(Action::Write(map))
     }
 
-    /// Gives new fences to targets to which an order failed and that have shown in the list since
-    /// that they live. Whichever run answers to the new fence, earlier grants are void there.
-    fn renew_fences(&self, registry: &Registry, map: &mut Map) -> bool {
+    /// Gives new fences to targets to which an order failed. Whichever run answers to the new fence,
+    /// earlier grants are void there.
+    fn renew_fences(&self, registry: &Registry, map: &mut Map, now: Tick) -> bool {
         let mut changed = false;
         for holder in &self.map.holders {
-            let Some(contact) = self.contacts.get(&holder.life).filter(|contact| !contact.busy)
-            else {
-                continue;
-            };
+            let Some(contact) = self.contacts.get(&holder.life) else { continue };
             let barred =
                 self.map.held_by(&holder.life).any(|holding| holding.fence <= contact.barrier);
-            let known = registry.get(&holder.life.vm);
-            let lives = known.is_some_and(|known| {
-                known.version > contact.failed_at && known.listing.life() == holder.life
-            });
-            if barred && lives {
+            if barred && contact.may_order(now) && !self.has_ended(registry, holder) {
                 map.refence_holder(&holder.life);
                 changed = true;
             }
@@ -635,7 +678,7 @@
                     known.is_some_and(|known| {
                         known.listing.life() == holder.life
                             && registry.presence(known, now) == Presence::Ready
-                    }) && !self.is_silent(registry, &holder.life)
+                    }) && !self.is_silent(&holder.life)
                 });
                 !moving && !held && !usable
             })
@@ -674,12 +717,9 @@
         true
     }
 
-    /// Tells whether orders to a target failed and the list has shown no sign of life since.
-    fn is_silent(&self, registry: &Registry, life: &Life) -> bool {
-        let version = registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
-        self.contacts
-            .get(life)
-            .is_some_and(|contact| contact.failures >= SILENT_AFTER && version <= contact.failed_at)
+    /// Tells whether orders to a target failed and none has succeeded since.
+    fn is_silent(&self, life: &Life) -> bool {
+        self.contacts.get(life).is_some_and(|contact| contact.failures >= SILENT_AFTER)
     }
 
     /// Returns who gets keys: the target that was meant, or else the least loaded.
@@ -694,7 +734,7 @@
         let ready: Vec<Holder> = self
             .ready(registry, now)
             .map(holder)
-            .filter(|holder| !self.is_silent(registry, &holder.life))
+            .filter(|holder| !self.is_silent(&holder.life))
             .filter(|holder| !self.ended.contains(&holder.life))
             .collect();
         let meant = meant.and_then(|life| ready.iter().find(|holder| holder.life == *life));
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -47,6 +47,8 @@
     registry: Registry,
     now_ms: u64,
     version: u64,
+    /// A target that no order reaches.
+    mute: Option<Life>,
 }
 
 impl Bench {
@@ -57,7 +59,7 @@
             registry.list(listing(number, 1, State::Ready), version, at(0));
         }
         let planner = Planner::new(Service::from("keyed"), config(), None, at(0));
-        let mut bench = Self { planner, registry, now_ms: 0, version: 100 };
+        let mut bench = Self { planner, registry, now_ms: 0, version: 100, mute: None };
         bench.settle();
         bench
     }
@@ -79,8 +81,7 @@
 
     fn answer(&mut self, life: &Life, grants: &[Grant], outcome: Outcome) {
         let results: Vec<_> = grants.iter().map(|grant| (grant.clone(), outcome)).collect();
-        let version = self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version);
-        self.planner.granted(life, &results, version, at(self.now_ms));
+        self.planner.granted(life, &results, at(self.now_ms));
     }
 
     /// Carries out everything until nothing is left to do.
@@ -94,7 +95,12 @@
                 match action {
                     Action::Write(_) => self.write(),
                     Action::Grant { life, grants, .. } => {
-                        self.answer(&life, &grants, Outcome::Granted);
+                        let mute = self.mute.as_ref() == Some(&life);
+                        let outcome = if mute { Outcome::Unsent } else { Outcome::Granted };
+                        self.answer(&life, &grants, outcome);
+                    }
+                    Action::Release { life, span, .. } if self.mute.as_ref() == Some(&life) => {
+                        self.planner.released(&life, span, Err(Outcome::Unsent));
                     }
                     Action::Release { life, span, .. } => {
                         self.planner.released(&life, span, Ok(Some(SmolStr::from("warm"))));
@@ -164,7 +170,8 @@
         }
     }
     bench.list(listing(1, 1, State::Leaving));
-    let actions = bench.step(10);
+    assert_eq!(releases(&bench.step(10)), 0);
+    let actions = bench.step(1_000);
     assert_eq!(releases(&actions), 0, "{actions:?}");
     assert!(actions.iter().any(|action| matches!(action, Action::Write(_))), "{actions:?}");
     bench.write();
@@ -184,6 +191,7 @@
         }
     }
     bench.registry.remove(&Vm::from("t1"), at(bench.now_ms));
+    bench.mute = Some(life(1, 1));
     bench.now_ms += HOLD_MS - 500;
     bench.settle();
     assert_eq!(bench.holder(0), Some(life(1, 1)));
--- a/crates/hold/tests/sim/mod.rs
+++ b/crates/hold/tests/sim/mod.rs
@@ -66,18 +66,21 @@
     }
 }
 
+/// Grants on their way to one target, one after the other.
+struct Batch {
+    leader: usize,
+    vm: usize,
+    life: Life,
+    link: u64,
+    grants: Vec<Grant>,
+    done: Vec<(Grant, Outcome)>,
+}
+
 enum Event {
     Tick(usize),
     Beat(usize),
     Fault,
-    Granting {
-        leader: usize,
-        vm: usize,
-        life: Life,
-        link: u64,
-        grants: Vec<Grant>,
-        done: Vec<(Grant, Outcome)>,
-    },
+    Granting(Box<Batch>),
     Apply {
         vm: usize,
         run: u64,
@@ -149,7 +152,6 @@
     pub overlaps: Vec<String>,
     pub stale: Vec<String>,
     pub moves: usize,
-    pub served_ms: u64,
 }
 
 impl World {
@@ -171,7 +173,6 @@
             overlaps: Vec::new(),
             stale: Vec::new(),
             moves: 0,
-            served_ms: 0,
         };
         for vm in 0..world.targets.len() {
             world.beat(vm);
@@ -230,9 +231,7 @@
                 self.push(BEAT_MS, Event::Beat(vm));
             }
             Event::Fault => self.fault(),
-            Event::Granting { leader, vm, life, link, grants, done } => {
-                self.granting(leader, vm, life, link, grants, done);
-            }
+            Event::Granting(batch) => self.granting(*batch),
             Event::Apply { vm, run, grant, arrived } => {
                 let target = &mut self.targets[vm];
                 if target.run == run && target.alive {
@@ -242,12 +241,11 @@
             Event::Granted { leader, life, results, link } => {
                 let now = at(self.now);
                 self.trace(|| format!("leader {leader} granted {} {results:?}", life.vm));
-                let listed = self.listed(&life);
                 let leader = &mut self.leaders[leader];
                 if let Some(link) = link {
                     leader.links.give_back(&life, link);
                 }
-                leader.planner.granted(&life, &results, listed, now);
+                leader.planner.granted(&life, &results, now);
             }
             Event::Releasing { leader, vm, life, span } => self.releasing(leader, vm, life, span),
             Event::Released { leader, life, span, result } => {
@@ -274,16 +272,11 @@
         }
     }
 
-    fn listed(&self, life: &Life) -> Version {
-        self.registry.get(&life.vm).map_or(Version::ZERO, |known| known.version)
-    }
-
     fn beat(&mut self, vm: usize) {
         let target = &self.targets[vm];
         if !target.alive || target.unlisted_until > self.now {
             return;
         }
-        self.version += 1;
         let listing = Listing {
             vm: target.name(),
             born: target.born,
@@ -294,7 +287,12 @@
             state: State::Ready,
             cold_ms: 0,
         };
-        self.registry.list(listing, Version::from(self.version), at(self.now));
+        // A sign of life alone does not change the entry.
+        let known = self.registry.get(&listing.vm);
+        if known.is_none_or(|known| known.listing != listing || !known.is_listed()) {
+            self.version += 1;
+            self.registry.list(listing, Version::from(self.version), at(self.now));
+        }
     }
 
     fn elect(&mut self) {
@@ -363,7 +361,6 @@
         match action {
             Action::Grant { life, grants, .. } => {
                 let vm = self.target(&life);
-                let listed = self.listed(&life);
                 let run = self.targets[vm].run;
                 let reconnects = self.mutation.reconnects;
                 let blind = self.leaders[index].blind;
@@ -381,14 +378,14 @@
                     Way::Ended => {
                         let unsent: Vec<_> =
                             grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
-                        leader.planner.granted(&life, &unsent, listed, at(self.now));
+                        leader.planner.granted(&life, &unsent, at(self.now));
                         return;
                     }
                 };
                 if let Some(link) = link {
                     let done = Vec::new();
-                    let granting = Event::Granting { leader: index, vm, life, link, grants, done };
-                    self.push(1, granting);
+                    let batch = Batch { leader: index, vm, life, link, grants, done };
+                    self.push(1, Event::Granting(Box::new(batch)));
                 } else {
                     let results = grants.into_iter().map(|grant| (grant, Outcome::Unsent));
                     let results = results.collect();
@@ -419,28 +416,20 @@
         }
     }
 
-    fn granting(
-        &mut self,
-        leader: usize,
-        vm: usize,
-        life: Life,
-        link: u64,
-        mut grants: Vec<Grant>,
-        mut done: Vec<(Grant, Outcome)>,
-    ) {
-        if grants.is_empty() {
-            let link = Some(link);
-            self.push(1, Event::Granted { leader, life, results: done, link });
+    fn granting(&mut self, mut batch: Batch) {
+        let paused = self.leaders[batch.leader].paused_until;
+        if paused > self.now {
+            self.push(paused - self.now, Event::Granting(Box::new(batch)));
             return;
         }
-        let paused = self.leaders[leader].paused_until;
-        if paused > self.now {
-            let wait = paused - self.now;
-            self.push(wait, Event::Granting { leader, vm, life, link, grants, done });
+        if batch.grants.is_empty() {
+            let Batch { leader, life, link, done, .. } = batch;
+            self.push(1, Event::Granted { leader, life, results: done, link: Some(link) });
             return;
         }
-        let grant = grants.remove(0);
-        let broken = !self.targets[vm].alive || self.targets[vm].run != link;
+        let grant = batch.grants.remove(0);
+        let target = &self.targets[batch.vm];
+        let broken = !target.alive || target.run != batch.link;
         let lost = broken || self.chance(self.faults.order_lost);
         let unanswered = self.chance(self.faults.answer_lost);
         let late = self.chance(self.faults.order_late);
@@ -448,22 +437,23 @@
         if !lost {
             if late {
                 let after = self.rng.random_range(500..6_000);
-                let run = self.targets[vm].run;
+                let (vm, run) = (batch.vm, self.targets[batch.vm].run);
                 let arrived = self.now;
                 self.push(after, Event::Apply { vm, run, grant: grant.clone(), arrived });
-            } else if !self.targets[vm].apply(&grant, self.now, HOLD_MS, self.now) {
+            } else if !self.targets[batch.vm].apply(&grant, self.now, HOLD_MS, self.now) {
                 outcome = Outcome::Fenced;
             }
         }
         if lost || unanswered || late {
+            let Batch { leader, life, grants, mut done, .. } = batch;
             done.push((grant, Outcome::Lost));
             done.extend(grants.into_iter().map(|grant| (grant, Outcome::Unsent)));
-            let results = done;
-            self.push(ORDER_TIMEOUT_MS, Event::Granted { leader, life, results, link: None });
+            let granted = Event::Granted { leader, life, results: done, link: None };
+            self.push(ORDER_TIMEOUT_MS, granted);
             return;
         }
-        done.push((grant, outcome));
-        self.push(2, Event::Granting { leader, vm, life, link, grants, done });
+        batch.done.push((grant, outcome));
+        self.push(2, Event::Granting(Box::new(batch)));
     }
 
     fn releasing(&mut self, leader: usize, vm: usize, life: Life, span: Span) {
@@ -565,7 +555,8 @@
                     self.overlaps.push(format!("{} ms: {text}", self.now));
                 }
             }
-            self.stale.extend(self.targets[a].stale.drain(..));
+            let stale = &mut self.targets[a].stale;
+            self.stale.append(stale);
         }
     }
 }
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -122,12 +122,91 @@
     found
 }
 
+/// Two targets that held one key at once under grants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Double {
+    /// When the second one took the key.
+    pub at: Tick,
+    /// A key of both.
+    pub key: u16,
+    /// The target that held it.
+    pub first: Vm,
+    /// The target that took it.
+    pub second: Vm,
+}
+
+/// What one run of a target holds under grants.
+#[derive(Default)]
+struct Grants {
+    incarnation: Incarnation,
+    held: Vec<(u16, u16, Tick)>,
+}
+
+impl Grants {
+    fn release(&mut self, first: u16, last: u16) {
+        let mut rest = Vec::new();
+        for (from, to, until) in self.held.drain(..) {
+            if to < first || last < from {
+                rest.push((from, to, until));
+                continue;
+            }
+            if from < first {
+                rest.push((from, first - 1, until));
+            }
+            if last < to {
+                rest.push((last + 1, to, until));
+            }
+        }
+        self.held = rest;
+    }
+}
+
+/// Returns every pair of targets that held one key at the same moment under grants.
+#[must_use]
+pub fn doubles(lines: &[Line]) -> Vec<Double> {
+    let mut grants: HashMap<Vm, Grants> = HashMap::new();
+    let mut found = Vec::new();
+    for line in lines {
+        match &line.kind {
+            Kind::Started => {
+                let fresh = Grants { incarnation: line.incarnation, held: Vec::new() };
+                grants.insert(line.vm.clone(), fresh);
+            }
+            Kind::Granted { first, last, until, .. } => {
+                for (vm, other) in grants.iter().filter(|(vm, _)| **vm != line.vm) {
+                    let overlap = other.held.iter().find(|(from, to, until)| {
+                        *from <= *last && *first <= *to && *until > line.at
+                    });
+                    found.extend(overlap.map(|(from, _, _)| Double {
+                        at: line.at,
+                        key: *from.max(first),
+                        first: vm.clone(),
+                        second: line.vm.clone(),
+                    }));
+                }
+                let own = grants.entry(line.vm.clone()).or_default();
+                if own.incarnation == line.incarnation {
+                    own.held.push((*first, *last, *until));
+                }
+            }
+            Kind::Released { first, last } => {
+                if let Some(own) = grants.get_mut(&line.vm) {
+                    own.release(*first, *last);
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
 /// Returns how often each identity of a request took effect.
 #[must_use]
 pub fn runs(lines: &[Line]) -> BTreeMap<String, usize> {
     let mut runs = BTreeMap::new();
     for line in lines {
-        if let Kind::Ran { id: Some(id), method, .. } = &line.kind
+        if let Kind::Ran { id: Some(id), method, .. } | Kind::Began { id: Some(id), method, .. } =
+            &line.kind
             && method == "POST"
         {
             *runs.entry(id.clone()).or_default() += 1;
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -40,6 +40,37 @@
         /// The shard and fence of the request, for a keyed service.
         held: Option<(Shard, Fence)>,
     },
+    /// The target accepted a grant.
+    Granted {
+        /// The first key.
+        first: u16,
+        /// The last key.
+        last: u16,
+        /// The fence.
+        fence: Fence,
+        /// The end of the grant on the machine's clock.
+        until: Tick,
+    },
+    /// The target gave keys up.
+    Released {
+        /// The first key.
+        first: u16,
+        /// The last key.
+        last: u16,
+    },
+    /// A target that takes grants began to work on a request.
+    Began {
+        /// The service.
+        service: SmolStr,
+        /// The identity of the request.
+        id: Option<String>,
+        /// The method.
+        method: String,
+        /// The path.
+        path: String,
+        /// The key of the request, for a keyed service.
+        key: Option<u16>,
+    },
     /// A request was refused without running.
     Refused {
         /// The caller's identity of the request, if it gave one.
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -12,10 +12,12 @@
     smol_str::SmolStr,
     standin::{
         check,
+        holder::{self, Holder},
         journal::{self, Journal},
         load,
         platform::Platform,
         proxy::Proxy,
+        rows::Rows,
         target::{self, Target},
     },
     std::{
@@ -43,6 +45,10 @@
     Platform(PlatformArguments),
     #[options(help = "run one target")]
     Target(TargetArguments),
+    #[options(help = "run the store of the users' platform")]
+    Rows(PlatformArguments),
+    #[options(help = "run one target of the users' platform")]
+    Holder(HolderArguments),
     #[options(help = "carry TCP connections and inject faults")]
     Proxy(ProxyArguments),
     #[options(help = "send requests at a fixed rate and print the latencies")]
@@ -89,6 +95,31 @@
     clock_offset_ms: u64,
 }
 
+#[derive(Debug, Options)]
+struct HolderArguments {
+    help: bool,
+    #[options(required, meta = "IP:PORT", help = "where to listen")]
+    listen: Option<SocketAddr>,
+    #[options(required, meta = "IP:PORT", help = "the store")]
+    store: Option<SocketAddr>,
+    #[options(meta = "FILE", help = "where to write the journal")]
+    journal: Option<PathBuf>,
+    #[options(required, help = "the name of the target")]
+    vm: String,
+    #[options(required, help = "the service it runs")]
+    service: String,
+    #[options(no_short, default = "a", help = "its availability zone")]
+    zone: String,
+    #[options(no_short, help = "run only requests for keys that it holds")]
+    keyed: bool,
+    #[options(no_short, default = "2", help = "requests worked on at once")]
+    slots: usize,
+    #[options(no_short, default = "8", help = "requests that may wait")]
+    queue: usize,
+    #[options(no_short, default = "5", help = "milliseconds of work of a request")]
+    work_ms: u64,
+}
+
 #[derive(Debug, Options)]
 struct ProxyArguments {
     help: bool,
@@ -156,6 +187,8 @@
     match arguments.command {
         Some(Command::Platform(arguments)) => runtime.block_on(platform(arguments)),
         Some(Command::Target(arguments)) => runtime.block_on(target(arguments)),
+        Some(Command::Rows(arguments)) => runtime.block_on(rows(arguments)),
+        Some(Command::Holder(arguments)) => runtime.block_on(holder(arguments)),
         Some(Command::Proxy(arguments)) => runtime.block_on(proxy(arguments)),
         Some(Command::Load(arguments)) => {
             runtime.block_on(load(arguments));
@@ -202,6 +235,31 @@
     Ok(())
 }
 
+async fn rows(arguments: PlatformArguments) -> Result<(), Box<dyn Error>> {
+    Rows::new().serve(bind(arguments.listen).await?).await;
+    Ok(())
+}
+
+async fn holder(arguments: HolderArguments) -> Result<(), Box<dyn Error>> {
+    let incarnation = Incarnation::from(rand::rng().random::<u64>());
+    let vm = Vm::from(arguments.vm.as_str());
+    let listener = bind(arguments.listen).await?;
+    let journal = Journal::open(arguments.journal.as_deref(), vm.clone(), incarnation)?;
+    let config = holder::Config {
+        vm,
+        service: arguments.service,
+        zone: arguments.zone,
+        address: listener.local_addr()?,
+        store: arguments.store.ok_or(Failure::NoAddress)?,
+        keyed: arguments.keyed,
+        slots: arguments.slots,
+        queue: arguments.queue,
+        work_ms: arguments.work_ms,
+    };
+    Holder::new(config, journal).serve(listener).await;
+    Ok(())
+}
+
 async fn proxy(arguments: ProxyArguments) -> Result<(), Box<dyn Error>> {
     let listener = bind(arguments.listen).await?;
     let admin = bind(arguments.admin).await?;
@@ -232,17 +290,21 @@
     let lines = journal::read_all(&arguments.folder)?;
     let overlaps = check::overlaps(&lines);
     let strays = check::strays(&lines);
+    let doubles = check::doubles(&lines);
     let doubled = check::runs(&lines).into_values().filter(|runs| *runs > 1).count();
     println!(
         "{} lines: {} overlaps of ownership, {} runs without ownership, {doubled} ids run twice",
         lines.len(),
-        overlaps.len(),
+        overlaps.len() + doubles.len(),
         strays.len(),
     );
     for overlap in overlaps.iter().take(5) {
         println!("{overlap:?}");
     }
-    if overlaps.is_empty() && strays.is_empty() && doubled == 0 {
+    for double in doubles.iter().take(5) {
+        println!("{double:?}");
+    }
+    if overlaps.is_empty() && doubles.is_empty() && strays.is_empty() && doubled == 0 {
         Ok(())
     } else {
         std::process::exit(1)
