--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -14,6 +14,9 @@
 /// The pause after a call that got no answer.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// The pause after a change of the list: a target that starts changes its entry many times.
+const LIST_PACE: Duration = Duration::from_millis(500);
+
 /// Counts the outages of the store that have ended. A question that was waiting during one may never
 /// be answered, so each change asks all of them anew.
 pub(crate) type Outages = watch::Receiver<u64>;
@@ -105,7 +108,11 @@
                 Ok(rows) => {
                     answered(true);
                     version = rows.version;
+                    let changed = !rows.rows.is_empty();
                     send(&inputs, Input::Targets { rows: rows.rows, whole: false }).await;
+                    if changed {
+                        time::sleep(LIST_PACE).await;
+                    }
                 }
                 Err(Error::Forgotten) => break,
                 Err(Error::Unavailable) => {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -108,6 +108,8 @@
     vm: String,
     #[options(required, help = "the service it runs")]
     service: String,
+    #[options(no_short, meta = "IP:PORT", help = "the address to register, if another")]
+    address: Option<SocketAddr>,
     #[options(no_short, default = "a", help = "its availability zone")]
     zone: String,
     #[options(no_short, help = "run only requests for keys that it holds")]
@@ -249,7 +251,7 @@
         vm,
         service: arguments.service,
         zone: arguments.zone,
-        address: listener.local_addr()?,
+        address: arguments.address.map_or_else(|| listener.local_addr(), Ok)?,
         store: arguments.store.ok_or(Failure::NoAddress)?,
         keyed: arguments.keyed,
         slots: arguments.slots,
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -122,7 +122,7 @@
 }
 
 /// Listens on a port that is free; one that another process took meanwhile is passed over.
-async fn listen() -> (TcpListener, SocketAddr) {
+pub(crate) async fn listen() -> (TcpListener, SocketAddr) {
     loop {
         let address = local(free_port());
         if let Ok(listener) = TcpListener::bind(address).await {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -4,6 +4,7 @@
 Entries and targets are processes; the platform and the proxies between any two of them run in the
 test, where their faults are set. Every entry connects from an address of its own, so a proxy can
 cut off one availability zone and not another. What the targets did is read from their journals.
+A [`Site`] is the same on the users' platform.
 */
 
 mod answer;
@@ -13,10 +14,12 @@
 mod plan;
 mod process;
 mod questions;
+mod site;
 
 pub use crate::{
     answer::{Answer, Caller},
     fleet::{Fleet, eventually},
     load::{Load, Seen},
     plan::{KEYED, Plan},
+    site::{Request, Response, Route, Site, Sketch},
 };
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -59,7 +59,7 @@
         let child = Command::new(program(name))
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().expect("the log can be shared"))
             .stderr(log)
             .spawn()
             .unwrap_or_else(|error| panic!("cannot start {name}: {error}"));
--- /dev/null
+++ b/crates/trial/tests/site.rs
@@ -0,0 +1,208 @@
+//! The whole path on the users' platform, with real processes.
+
+use {
+    standin::{check, holder, proxy, rows},
+    std::{collections::HashSet, time::Duration},
+    tokio::time,
+    trial::{Request, Route, Site, Sketch, eventually},
+};
+
+/// Checks what must hold whatever happened.
+fn check_promises(site: &Site, not_run: &HashSet<String>) {
+    let lines = site.journal();
+    let doubles = check::doubles(&lines);
+    assert!(doubles.is_empty(), "keys with two holders: {:?}", doubles.first());
+    let runs = check::runs(&lines);
+    let twice = runs.iter().find(|(_, count)| **count > 1);
+    assert!(twice.is_none(), "an order ran twice: {twice:?}");
+    let broken = runs.keys().find(|id| not_run.contains(id.as_str()));
+    assert!(broken.is_none(), "an order ran though its caller was told otherwise: {broken:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_and_a_new_version_comes_into_force() {
+    let site = Site::start(Sketch::default()).await;
+    let unknown = Request { path: "/nowhere/1".to_owned(), ..Request::lookup(1) };
+    assert_eq!(site.send(0, &unknown).await.status.map(|status| status.as_u16()), Some(404));
+    site.configure(
+        7,
+        &[
+            Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
+            Route { prefix: "/catalogue/plain/", kind: "safe", service: "orders" },
+        ],
+    );
+    eventually("the order's route is gone", || async {
+        let answer = site.send(1, &Request::order()).await;
+        (answer.status.map(|status| status.as_u16()) == Some(404)).then_some(())
+    })
+    .await;
+    let longest =
+        Request { path: "/catalogue/plain/1".to_owned(), key: None, ..Request::lookup(1) };
+    site.await_served(1, &longest).await;
+    assert!(site.is_ready(0).await);
+    assert!(site.metrics(0).await.contains("almondworks_answers"));
+    check_promises(&site, &HashSet::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_have_one_holder_while_targets_and_entries_fail() {
+    let mut site = Site::start(Sketch::default()).await;
+    let mut not_run = HashSet::new();
+    for round in 0..3_usize {
+        site.kill_target(round);
+        site.kill_entry(round);
+        for key in (0..=u16::MAX).step_by(4_099) {
+            let through = (round + 1) % 3;
+            site.send(through, &Request::lookup(key)).await;
+            let order = site.send(through, &Request::order()).await;
+            if order.is_not_run() {
+                not_run.insert(order.id);
+            }
+        }
+        site.start_target(round);
+        site.start_entry(round);
+        for key in (0..=u16::MAX).step_by(8_191) {
+            site.await_served(round, &Request::lookup(key)).await;
+        }
+    }
+    check_promises(&site, &not_run);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_of_targets_show_no_wrong_answer() {
+    struct Case {
+        name: &'static str,
+        target: holder::Fault,
+        way: proxy::Fault,
+    }
+    let quiet = holder::Fault::default();
+    let cases = [
+        Case {
+            name: "answers break off",
+            target: holder::Fault { cut_answers: true, ..quiet },
+            way: proxy::Fault::default(),
+        },
+        Case {
+            name: "answers belong to others",
+            target: holder::Fault { crossed: true, ..quiet },
+            way: proxy::Fault::default(),
+        },
+        Case {
+            name: "answers are lost",
+            target: holder::Fault { lose_answers: true, ..quiet },
+            way: proxy::Fault::default(),
+        },
+        Case {
+            name: "requests are shed",
+            target: holder::Fault { shed: true, ..quiet },
+            way: proxy::Fault::default(),
+        },
+        Case {
+            name: "the way is cut",
+            target: quiet,
+            way: proxy::Fault { cut: true, ..proxy::Fault::default() },
+        },
+        Case {
+            name: "connections are reset",
+            target: quiet,
+            way: proxy::Fault { reset_after: Some(40), ..proxy::Fault::default() },
+        },
+    ];
+    let site = Site::start(Sketch::default()).await;
+    let mut not_run = HashSet::new();
+    for case in cases {
+        // One target with keys and one without.
+        for target in [0, 4] {
+            site.upset_target(target, case.target).await;
+            site.upset_way(target, case.way.clone());
+        }
+        for key in (0..=u16::MAX).step_by(6_007) {
+            for request in [Request::lookup(key), Request::order()] {
+                let answer = site.send(0, &request).await;
+                let status = answer.status.map_or(0, |status| status.as_u16());
+                assert!(status != 200 || answer.is_served(), "{}: {answer:?}", case.name);
+                if answer.is_not_run() && request.key.is_none() {
+                    not_run.insert(answer.id);
+                }
+            }
+        }
+        for target in [0, 4] {
+            site.upset_way(target, proxy::Fault::default());
+            site.upset_target(target, quiet).await;
+        }
+    }
+    for key in (0..=u16::MAX).step_by(8_191) {
+        site.await_served(0, &Request::lookup(key)).await;
+    }
+    check_promises(&site, &not_run);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_of_the_store_stops_neither_requests_nor_what_comes_after() {
+    let site = Site::start(Sketch { hold_ms: 8_000, ..Sketch::default() }).await;
+    for fault in [
+        rows::Fault { silent: true, ..rows::Fault::default() },
+        rows::Fault { refuse: Some(503), ..rows::Fault::default() },
+    ] {
+        site.store.set_fault(fault);
+        let until = time::Instant::now() + Duration::from_secs(4);
+        while time::Instant::now() < until {
+            let answer = site.send(0, &Request::lookup(77)).await;
+            assert!(answer.is_served(), "{fault:?}: {answer:?}");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        site.store.set_fault(rows::Fault::default());
+        site.store.compact();
+    }
+    site.configure(9, &[Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" }]);
+    eventually("the new version is in force", || async {
+        let answer = site.send(2, &Request::order()).await;
+        (answer.status.map(|status| status.as_u16()) == Some(404)).then_some(())
+    })
+    .await;
+    check_promises(&site, &HashSet::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn writes_without_answers_and_late_grants_give_no_key_two_holders() {
+    let mut site = Site::start(Sketch::default()).await;
+    let fault = rows::Fault { lose_answers: 0.5, late_ms: 1_500, ..rows::Fault::default() };
+    site.store.set_fault(fault);
+    let late = holder::Fault { late_grants_ms: 2_000, ..holder::Fault::default() };
+    site.upset_target(1, late).await;
+    site.kill_target(0);
+    site.upset_target(2, holder::Fault { draining: true, ..holder::Fault::default() }).await;
+    time::sleep(Duration::from_secs(6)).await;
+    site.store.set_fault(rows::Fault::default());
+    site.upset_target(1, holder::Fault::default()).await;
+    site.start_target(0);
+    for key in (0..=u16::MAX).step_by(8_191) {
+        site.await_served(0, &Request::lookup(key)).await;
+    }
+    check_promises(&site, &HashSet::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_ends_what_is_in_flight() {
+    let mut site = Site::start(Sketch::default()).await;
+    for target in 4..7 {
+        let slow = holder::Fault { slow_ms: 600, ..holder::Fault::default() };
+        site.upset_target(target, slow).await;
+    }
+    let order = Request::order();
+    let sending = async {
+        let answer = site.send(0, &order).await;
+        assert!(answer.is_served(), "{answer:?}");
+    };
+    let stopping = async {
+        time::sleep(Duration::from_millis(200)).await;
+        site.terminate_entry(0);
+        eventually("the entry says that it is not ready", || async {
+            (!site.is_ready(0).await).then_some(())
+        })
+        .await;
+    };
+    tokio::join!(sending, stopping);
+    assert_eq!(site.exit_code(0), Some(0));
+    site.await_served(1, &Request::order()).await;
+}
