--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -12,7 +12,7 @@
 };
 
 /// The pause after a call that got no answer.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(200);
 
 /// The pause after a change of the list: a target that starts changes its entry many times.
 const LIST_PACE: Duration = Duration::from_millis(500);
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -38,6 +38,9 @@
 /// The silence of the store after which a process counts as turned away.
 const STORE_SILENCE: Duration = Duration::from_millis(1_600);
 
+/// The time after an excuse has ended within which the view is made anew.
+const SETTLING: Duration = Duration::from_millis(500);
+
 /// The time for which strikes are passed on.
 const STRIKE_MEMORY: Duration = Duration::from_secs(3);
 
@@ -197,7 +200,7 @@
             self.follow(now);
         }
         self.report(now);
-        self.dirty |= self.has_leaving(now);
+        self.dirty |= self.has_leaving(now) || self.registry.is_settling(SETTLING, now);
     }
 
     fn note_store(&mut self, now: Tick) {
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -13,7 +13,7 @@
 };
 
 /// The time after an outage within which targets are listed again.
-const RETURN: Duration = Duration::from_millis(2_200);
+const RETURN: Duration = Duration::from_millis(2_000);
 
 /// The time for which a target that was lost is remembered.
 const MEMORY: Duration = Duration::from_secs(60);
@@ -209,6 +209,13 @@
         known.left.or(missing).map_or(Presence::Ready, Presence::Leaving)
     }
 
+    /// Tells whether the presence of a target changes with time alone, or did within `span`.
+    #[must_use]
+    pub fn is_settling(&self, span: Duration, now: Tick) -> bool {
+        let missing = self.targets.values().filter_map(|known| known.missing);
+        missing.into_iter().any(|missing| now < missing.excused_until.plus(span))
+    }
+
     /// Tells whether a run of a target is proved to have ended: the name or the address belongs to
     /// a later one.
     #[must_use]
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -18,7 +18,7 @@
 };
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_BODY_LIMIT_BYTES: usize = 64 << 20;
 const IDLE_PER_HOST: usize = 2;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -35,13 +35,19 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     timeout: Duration,
+    connect_timeout: Duration,
     body_limit: usize,
     source: Option<IpAddr>,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { timeout: DEFAULT_TIMEOUT, body_limit: DEFAULT_BODY_LIMIT_BYTES, source: None }
+        Self {
+            timeout: DEFAULT_TIMEOUT,
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            body_limit: DEFAULT_BODY_LIMIT_BYTES,
+            source: None,
+        }
     }
 }
 
@@ -53,6 +59,13 @@
         self
     }
 
+    /// Sets the time that opening a connection may take.
+    #[must_use]
+    pub const fn connect_timeout(mut self, timeout: Duration) -> Self {
+        self.connect_timeout = timeout;
+        self
+    }
+
     /// Sets the address from which connections are opened.
     #[must_use]
     pub const fn source(mut self, source: Option<IpAddr>) -> Self {
@@ -73,7 +86,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_local_address(self.source);
-        connector.set_connect_timeout(Some(self.timeout.min(CONNECT_TIMEOUT)));
+        connector.set_connect_timeout(Some(self.timeout.min(self.connect_timeout)));
         connector.set_keepalive(Some(PROBE_AFTER));
         connector.set_keepalive_interval(Some(PROBE_EVERY));
         connector.set_keepalive_retries(Some(PROBES));
