Give keys on as soon as they are released; explain a request from logs

Change: each release that ends is written and granted at once; nothing is planned without the right to order, also not after an answer. 'almondworks explain ID LOGS' joins the lines about a request with the beliefs of the processes and the orders about its target and key.

--- a/crates/almondworks/src/arguments.rs
+++ b/crates/almondworks/src/arguments.rs
@@ -35,6 +35,8 @@
     Drain(DrainArguments),
     #[options(help = "state that everything on a VM has ended")]
     Vouch(VouchArguments),
+    #[options(help = "explain from logs what happened to a request")]
+    Explain(ExplainArguments),
     #[options(help = "show how fast services use up what their objectives allow")]
     Burn(BurnArguments),
 }
@@ -46,6 +48,19 @@
     pub(crate) settings: PathBuf,
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct ExplainArguments {
+    help: bool,
+    #[options(help = "print JSON")]
+    pub(crate) json: bool,
+    #[options(
+        free,
+        required,
+        help = "the id of the request, then log files; without any, standard input"
+    )]
+    pub(crate) words: Vec<String>,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct ConfigArguments {
     help: bool,
--- a/crates/almondworks/src/error.rs
+++ b/crates/almondworks/src/error.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Error {
     #[error("--at IP:PORT is missing")]
     NoAddress,
+    #[error("explain needs the id of a request")]
+    NoId,
     #[error("config needs one of check, get, put, diff, log")]
     NoConfigCommand,
     #[error("--confirm must repeat the name of the VM; nothing was sent")]
@@ -42,6 +44,7 @@
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
             Self::NoAddress
+            | Self::NoId
             | Self::NoConfigCommand
             | Self::Unconfirmed
             | Self::Text { .. }
--- a/crates/almondworks/src/main.rs
+++ b/crates/almondworks/src/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod error;
+mod explain;
 mod operator;
 mod show;
 mod table;
@@ -65,6 +66,7 @@
         Command::History(arguments) => operator::history(&arguments),
         Command::Drain(arguments) => operator::drain(&arguments),
         Command::Vouch(arguments) => operator::vouch(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Burn(arguments) => operator::burn(&arguments),
     }
 }
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -165,7 +165,7 @@
                 self.take_granted(&service, &life, &results, link, now);
             }
             Input::Released { service, life, span, result } => {
-                self.take_released(&service, &life, span, result);
+                self.take_released(&service, &life, span, result, now);
             }
             Input::Report { report, answer } => {
                 let reply = self.take_report(&report, now);
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -145,7 +145,7 @@
         let Some(leading) = &mut self.leading else { return };
         let unread = leading.planners.values().any(Planner::wants_reading);
         let unconfirmed = now.since(leading.confirmed) >= CONFIRM_EVERY;
-        let (ready, has_right) = (leading.ready, now.since(leading.confirmed) < RIGHT);
+        let ready = leading.ready;
         leading.reports.retain(|_, at| now.since(*at) < ENTRY_SILENCE);
         let entries = leading.reports.len() + 1;
         if entries != self.entries {
@@ -155,13 +155,23 @@
         if unread || unconfirmed || !ready {
             self.read_own(now);
         }
+        self.plan(now);
+    }
+
+    /// Tells whether this process may order anything now.
+    fn has_right(&self, now: Tick) -> bool {
         let gathered = self.listed_since.is_some_and(|since| now.since(since) >= GATHER);
-        if ready && has_right && gathered {
-            self.plan(now);
-        }
+        let confirmed = self
+            .leading
+            .as_ref()
+            .is_some_and(|leading| leading.ready && now.since(leading.confirmed) < RIGHT);
+        gathered && confirmed
     }
 
     fn plan(&mut self, now: Tick) {
+        if !self.has_right(now) {
+            return;
+        }
         self.make_planners(now);
         let Some(leading) = &mut self.leading else { return };
         let registry = &self.registry;
@@ -284,6 +294,7 @@
         life: &Life,
         span: Span,
         result: Result<Option<SmolStr>, Outcome>,
+        now: Tick,
     ) {
         let outcome = format!("{:?}", result.as_ref().map(Option::is_some));
         self.note_order("released", life, span, Fence::ZERO, &outcome);
@@ -291,6 +302,8 @@
         if let Some(planner) = leading.planners.get_mut(service) {
             planner.released(life, span, result);
         }
+        // Nobody holds these keys until they are given on.
+        self.plan(now);
     }
 
     fn write(&self, service: Service, map: &Map, _now: Tick) {
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -616,20 +616,15 @@
         let mut changed = !self.refenced;
         if self.refenced {
             changed |= self.renew_fences(registry, &mut map, now);
-            // Moves end together, so that one write carries all of them.
-            let waits = self.moves.iter().any(|moving| moving.step == Step::Releasing);
-            let departed = self.moves.iter().any(|moving| moving.to.is_none());
-            if !waits || departed {
-                for moving in self.moves.clone() {
-                    let Step::Released(handover) = moving.step else { continue };
-                    let to = self.receiver(registry, moving.to.as_ref(), &map, moving.span, now);
-                    if let Some(to) = to {
-                        map.assign(moving.span, Some(to));
-                        if let Some(handover) = handover {
-                            self.handovers.insert(moving.span, handover);
-                        }
-                        changed = true;
+            for moving in self.moves.clone() {
+                let Step::Released(handover) = moving.step else { continue };
+                let to = self.receiver(registry, moving.to.as_ref(), &map, moving.span, now);
+                if let Some(to) = to {
+                    map.assign(moving.span, Some(to));
+                    if let Some(handover) = handover {
+                        self.handovers.insert(moving.span, handover);
                     }
+                    changed = true;
                 }
             }
             changed |= self.place_free_keys(registry, &mut map, now);
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -8,6 +8,7 @@
 */
 
 pub mod burn;
+pub mod explain;
 mod html;
 pub mod journal;
 pub mod log;
