--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,6 +1,5 @@
 //! The control thread: everything that is agreed, known and decided beside single requests.
 
-mod election;
 mod feeds;
 mod input;
 mod lead;
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -7,7 +7,6 @@
 use {
     crate::{
         control::{
-            election::{Election, Leader},
             feeds::send,
             input::Input,
             lead::{LEAD_KEY, Lead, Member, Subject, member_key},
@@ -17,7 +16,7 @@
         view::Pool,
     },
     conf::routing::Routing,
-    hold::{Map, Registry},
+    hold::{Election, Map, Registry, election::Leader},
     key::{Process, Service, Version, Vm, clock::Tick},
     leading::Leading,
     platform::{
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -4,7 +4,6 @@
     super::State,
     crate::{
         control::{
-            election::Verdict,
             feeds::send,
             input::Input,
             lead::Member,
@@ -12,6 +11,7 @@
         },
         shared::Seen,
     },
+    hold::election::Verdict,
     key::{Version, Vm, clock::Tick},
     platform::{
         Store,
--- a/crates/edge/src/control/election.rs
+++ b/crates/hold/src/election.rs
@@ -23,7 +23,7 @@
 
 /// What to do about the leader's silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Verdict {
+pub enum Verdict {
     /// Nothing.
     Wait,
     /// Ask the other entries whether they hear the leader.
@@ -34,7 +34,7 @@
 
 /// What is known of the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Leader {
+pub enum Leader {
     /// No row names one.
     Nobody,
     /// The row names an earlier run of this process.
@@ -48,31 +48,34 @@
 
 /// When to try.
 #[derive(Clone, Debug)]
-pub(crate) struct Election {
+pub struct Election {
     heard: Tick,
     not_before: Tick,
     polled: bool,
 }
 
 impl Election {
-    pub(crate) const fn new(now: Tick) -> Self {
+    /// Returns what a fresh process knows.
+    #[must_use]
+    pub const fn new(now: Tick) -> Self {
         Self { heard: now, not_before: now.plus(START), polled: false }
     }
 
     /// Notes that the leader answered, or that a new one is named.
-    pub(crate) const fn hear(&mut self, now: Tick) {
+    pub const fn hear(&mut self, now: Tick) {
         self.heard = now;
         self.polled = false;
     }
 
     /// Returns how long the leader has been silent.
-    pub(crate) const fn silence(&self, now: Tick) -> Duration {
+    #[must_use]
+    pub const fn silence(&self, now: Tick) -> Duration {
         now.since(self.heard)
     }
 
     /// Notes the result of a poll: `silent` other entries answered that they do not hear the leader
     /// either, out of `entries` in all, and `heard` tells whether any does.
-    pub(crate) fn polled(&mut self, silent: usize, heard: bool, entries: usize, now: Tick) {
+    pub fn polled(&mut self, silent: usize, heard: bool, entries: usize, now: Tick) {
         let many = 2 * (silent + 1) > entries || self.silence(now) >= ALONE;
         self.polled = many && !heard;
         if !self.polled {
@@ -81,13 +84,14 @@
     }
 
     /// Notes an attempt to lead.
-    pub(crate) const fn stood(&mut self, now: Tick) {
+    pub const fn stood(&mut self, now: Tick) {
         self.polled = false;
         self.not_before = now.plus(PAUSE);
     }
 
     /// Decides, for an entry before which `rank` others come.
-    pub(crate) fn decide(&self, leader: Leader, rank: usize, now: Tick) -> Verdict {
+    #[must_use]
+    pub fn decide(&self, leader: Leader, rank: usize, now: Tick) -> Verdict {
         let turn = RANK_DELAY * rank as u32;
         if now < self.not_before {
             return Verdict::Wait;
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -10,6 +10,7 @@
 */
 
 pub mod balance;
+pub mod election;
 pub mod ledger;
 pub mod links;
 pub mod list;
@@ -17,6 +18,7 @@
 pub mod planner;
 
 pub use crate::{
+    election::Election,
     ledger::Ledger,
     links::Links,
     list::{Listing, Registry},
--- /dev/null
+++ b/crates/route/tests/budget.rs
@@ -0,0 +1,60 @@
+//! The limit on retries over a sliding window.
+
+use {
+    quickcheck::quickcheck,
+    route::budget::{Share, Window},
+    std::time::{Duration, Instant},
+};
+
+const LENGTH: Duration = Duration::from_secs(10);
+const SHARE: Share = Share { ratio: 0.15, extra: 4.0 };
+
+#[test]
+fn retries_are_allowed_in_proportion_to_requests() {
+    struct Case {
+        requests: u32,
+        allowed: u32,
+    }
+    let cases = [
+        Case { requests: 0, allowed: 4 },
+        Case { requests: 100, allowed: 19 },
+        Case { requests: 1_000, allowed: 154 },
+    ];
+    for case in cases {
+        let mut window = Window::new(LENGTH);
+        let now = Instant::now();
+        (0..case.requests).for_each(|_| window.request(now));
+        let allowed = (0..10_000).filter(|_| window.retry(now, SHARE)).count();
+        assert_eq!(allowed as u32, case.allowed, "{} requests", case.requests);
+    }
+}
+
+quickcheck! {
+    /// Whatever the order of requests and retries, no window of the length holds more retries than
+    /// its limit allows for the requests in it and one slice before.
+    fn no_window_holds_too_many(steps: Vec<(u16, bool)>) -> bool {
+        let start = Instant::now();
+        let mut window = Window::new(LENGTH);
+        let mut now = start;
+        let mut requests = Vec::new();
+        let mut retries = Vec::new();
+        for (wait, retry) in steps {
+            now += Duration::from_millis(u64::from(wait % 700));
+            if retry {
+                if window.retry(now, SHARE) {
+                    retries.push(now);
+                }
+            } else {
+                window.request(now);
+                requests.push(now);
+            }
+        }
+        let slice = LENGTH / 20;
+        retries.iter().all(|end| {
+            let within = |at: &&Instant, span: Duration| **at <= *end && end.duration_since(**at) <= span;
+            let retries = retries.iter().filter(|at| within(at, LENGTH)).count() as f64;
+            let requests = requests.iter().filter(|at| within(at, LENGTH + slice * 2)).count() as f64;
+            retries <= SHARE.ratio.mul_add(requests, SHARE.extra) + 1e-6
+        })
+    }
+}
