--- a/crates/almondworks/src/main.rs
+++ b/crates/almondworks/src/main.rs
@@ -22,7 +22,7 @@
     },
 };
 
-/// The exit codes, as docs/OPERATING.md lists them.
+/// The exit codes, as docs/OPERATIONS.md lists them.
 mod exit {
     /// The platform, an entry or the system did not do what was asked.
     pub(crate) const FAILED: u8 = 1;
