Let a leader carry larger sites, and trust its own list over a peer's

(2) A new leader whose row came through its feed before the answer stood again. Change: a peer's list counts only while the own one cannot be read, and is read whole after a silence; the ledger is found by parts of the key space; rows are arrays; changes are pushed instead of maps; reports are paced by the number of entries; the strongest entries come first to lead; keys are first given out when the list has stopped growing; a target that was never listed counts as gone.

--- a/crates/conf/src/fleet.rs
+++ b/crates/conf/src/fleet.rs
@@ -42,6 +42,9 @@
     /// The life of a grant.
     #[serde(default = "default_hold")]
     pub hold: Time,
+    /// The share of a core that this process may use.
+    #[serde(default = "default_power")]
+    pub power: f64,
     /// The least severe log level that is written.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -61,6 +64,10 @@
     pub window: Time,
 }
 
+const fn default_power() -> f64 {
+    1.0
+}
+
 const fn default_hold() -> Time {
     Time::from_millis(7_500)
 }
--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -1,10 +1,10 @@
 //! Reading the store's tables as they change.
 
 use {
-    crate::control::input::Input,
+    crate::{control::input::Input, shared::Shared},
     key::Version,
     platform::store::{Error, Rows, Store, Table},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc::Sender, watch},
         time,
@@ -17,6 +17,10 @@
 /// The pause after a change of the list: a target that starts changes its entry many times.
 const LIST_PACE: Duration = Duration::from_millis(500);
 
+/// The entries beyond which the pause is longer, up to a limit that the bound for leaving targets sets.
+const PACED_ENTRIES: u32 = 20;
+const SLOWEST_LIST_PACE: Duration = Duration::from_millis(1_000);
+
 /// Counts the outages of the store that have ended. A question that was waiting during one may never
 /// be answered, so each change asks all of them anew.
 pub(crate) type Outages = watch::Receiver<u64>;
@@ -85,7 +89,12 @@
 }
 
 /// Follows the list of targets, for ever, and counts the outages that this shows.
-pub(crate) async fn follow_targets(store: Store, inputs: Sender<Input>, ended: watch::Sender<u64>) {
+pub(crate) async fn follow_targets(
+    store: Store,
+    inputs: Sender<Input>,
+    ended: watch::Sender<u64>,
+    shared: Arc<Shared>,
+) {
     let mut silent = false;
     let mut answered = |answer: bool| {
         if answer && silent {
@@ -111,7 +120,9 @@
                     let changed = !rows.rows.is_empty();
                     send(&inputs, Input::Targets { rows: rows.rows, whole: false }).await;
                     if changed {
-                        time::sleep(LIST_PACE).await;
+                        let entries = shared.view.load().entries as u32;
+                        let pace = LIST_PACE * entries / PACED_ENTRIES;
+                        time::sleep(pace.clamp(LIST_PACE, SLOWEST_LIST_PACE)).await;
                     }
                 }
                 Err(Error::Forgotten) => break,
@@ -119,6 +130,8 @@
                     answered(false);
                     send(&inputs, Input::TargetsSilent).await;
                     time::sleep(PAUSE).await;
+                    // Peers' knowledge may have come in between, so the whole list is read again.
+                    break;
                 }
             }
         }
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -3,7 +3,7 @@
 use {
     crate::control::{
         lead::Lead,
-        peers::{Hello, NewMap, Reply, Report},
+        peers::{Hello, NewChange, Reply, Report},
     },
     hold::{
         Life, Span,
@@ -34,8 +34,8 @@
     /// All rows on holders of keys were read; where this process leads, the rows on entries were
     /// read before them, asked for at some moment.
     Maps { rows: Vec<Row>, own: Option<(Vec<Row>, Tick)> },
-    /// The leader has written maps.
-    Pushed(Vec<NewMap>),
+    /// The leader has written a map.
+    Pushed(NewChange),
     /// The result of an attempt to lead.
     Candidacy { lead: Lead, commit: Commit },
     /// The peers' votes on whether the leader is silent.
--- a/crates/edge/src/control/lead.rs
+++ b/crates/edge/src/control/lead.rs
@@ -31,11 +31,13 @@
 }
 
 /// The row of one entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Member {
     pub(crate) incarnation: Incarnation,
     pub(crate) address: SocketAddr,
     pub(crate) zone: Zone,
+    /// The share of a core that it may use; the strongest entries come first to lead.
+    pub(crate) power: f64,
 }
 
 /// What a row is about.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -65,7 +65,7 @@
         outages.clone(),
     ));
     tokio::task::spawn_local(feeds::follow_own(feed.0, feed.1.clone(), outages));
-    tokio::task::spawn_local(feeds::follow_targets(list, feed.1, ended));
+    tokio::task::spawn_local(feeds::follow_targets(list, feed.1, ended, Arc::clone(&seat.shared)));
     let mut state = State::new(seat.me, seat.shared, store, sender);
     state.join();
     let mut ticks = time::interval(TICK);
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -8,7 +8,7 @@
     crate::control::{feeds::send, input::Input},
     conf::routing::Routing,
     futures::future::join_all,
-    hold::{Life, Listing, Map},
+    hold::{Life, Listing, Map, map::Change},
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     key::{Service, Version, Vm},
@@ -26,7 +26,7 @@
 
 const BODY_LIMIT_BYTES: usize = 1 << 20;
 const REPORT_PATH: &str = "/report";
-const MAPS_PATH: &str = "/maps";
+const CHANGE_PATH: &str = "/change";
 const HELLO_PATH: &str = "/hello";
 
 /// The requests for one key.
@@ -82,6 +82,13 @@
     pub(crate) map: Map,
 }
 
+/// What the leader's newest write changed in a service's map.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct NewChange {
+    pub(crate) service: Service,
+    pub(crate) change: Change,
+}
+
 /// One entry of the list of targets with its version.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Listed {
@@ -126,11 +133,11 @@
             send(&inputs, Input::Report { report, answer }).await;
             reply_with(reply.await)
         }
-        MAPS_PATH if request.method() == Method::POST => {
-            let Ok(maps) = wire::read_json::<Vec<NewMap>>(request, BODY_LIMIT_BYTES).await else {
+        CHANGE_PATH if request.method() == Method::POST => {
+            let Ok(change) = wire::read_json::<NewChange>(request, BODY_LIMIT_BYTES).await else {
                 return wire::status(StatusCode::BAD_REQUEST);
             };
-            send(&inputs, Input::Pushed(maps)).await;
+            send(&inputs, Input::Pushed(change)).await;
             wire::json(StatusCode::OK, &())
         }
         HELLO_PATH => {
@@ -165,9 +172,10 @@
         self.client.post(to, REPORT_PATH, report).await.ok()
     }
 
-    /// Sends maps to entries. One that cannot be reached gets them with its next report.
-    pub(crate) async fn push(&self, members: Vec<SocketAddr>, maps: &[NewMap]) {
-        let send = |to| async move { self.client.post::<_, ()>(to, MAPS_PATH, maps).await.is_ok() };
+    /// Sends a change to entries. One that cannot be reached gets the map with its next report.
+    pub(crate) async fn push(&self, members: Vec<SocketAddr>, change: &NewChange) {
+        let send =
+            |to| async move { self.client.post::<_, ()>(to, CHANGE_PATH, change).await.is_ok() };
         join_all(members.into_iter().map(send)).await;
     }
 
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -10,7 +10,7 @@
             feeds::send,
             input::Input,
             lead::{LEAD_KEY, Lead, Member, Subject, member_key},
-            peers::{Hello, NewMap, Peers},
+            peers::{Hello, NewChange, Peers},
         },
         shared::Shared,
         view::Pool,
@@ -69,7 +69,8 @@
     peers: Peers,
     routing: Option<Arc<Routing>>,
     registry: Registry,
-    listed_since: Option<Tick>,
+    /// When the list last had a target that was new.
+    list_grew: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
     members: BTreeMap<Vm, Member>,
     lead: Option<Lead>,
@@ -108,7 +109,7 @@
             peers: Peers::new(),
             routing: None,
             registry: Registry::default(),
-            listed_since: None,
+            list_grew: None,
             maps: BTreeMap::new(),
             members: BTreeMap::new(),
             lead: None,
@@ -137,6 +138,7 @@
             incarnation: self.me.incarnation,
             address: settings.peer_listen,
             zone: settings.zone.clone(),
+            power: settings.power,
         };
         let key = member_key(&self.me.vm);
         let store = self.store.clone();
@@ -154,7 +156,7 @@
             Input::TargetsSilent => self.registry.note_reading(false, now),
             Input::Own { rows, whole } => self.take_own(&rows, whole, now),
             Input::Maps { rows, own } => self.take_maps(&rows, own, now),
-            Input::Pushed(maps) => self.take_pushed(maps),
+            Input::Pushed(change) => self.take_pushed(&change),
             Input::Candidacy { lead, commit } => self.take_candidacy(lead, commit, now),
             Input::Polled { silent, heard } => {
                 self.election.polled(silent, heard, self.entries, now);
@@ -242,6 +244,7 @@
 
     fn take_targets(&mut self, rows: Vec<Row>, whole: bool, now: Tick) {
         self.registry.note_reading(true, now);
+        let known = self.registry.len();
         if whole {
             let listed = |vm: &Vm| rows.iter().any(|row| row.key == vm.as_str());
             self.dirty |= self.registry.retain(listed, now);
@@ -266,8 +269,8 @@
                 Err(error) => self.believe_target(&vm, row.version, &error.to_string()),
             }
         }
-        if self.listed_since.is_none() && !self.registry.is_empty() {
-            self.listed_since = Some(now);
+        if self.registry.len() > known {
+            self.list_grew = Some(now);
         }
     }
 
@@ -310,10 +313,12 @@
         }
     }
 
-    fn take_pushed(&mut self, maps: Vec<NewMap>) {
-        for new in maps {
-            let map = Map { version: new.version, ..new.map };
-            self.adopt_map(new.service, map);
+    /// Takes a change; one that does not rest on the map known here is made up for by the reply to
+    /// the next report.
+    fn take_pushed(&mut self, new: &NewChange) {
+        let map = self.maps.get(&new.service).and_then(|map| map.after(&new.change));
+        if let Some(map) = map {
+            self.adopt_map(new.service.clone(), map);
         }
     }
 
@@ -384,14 +389,17 @@
 
     fn take_candidacy(&mut self, lead: Lead, commit: Commit, now: Tick) {
         self.standing = false;
-        // An attempt without an answer shows in the feed if it took effect; the row then names an
-        // earlier attempt of this process, and it stands again.
+        // The row may have come through the feed before the answer. Without an answer it shows there
+        // if the attempt took effect, and names what looks like an earlier run; this process stands
+        // again then.
         if let Commit::Committed(version) = commit
-            && version > self.lead_version
+            && version >= self.lead_version
         {
             self.lead = Some(lead);
             self.lead_version = version;
-            self.begin_to_lead(now);
+            if self.leading.is_none() {
+                self.begin_to_lead(now);
+            }
         }
     }
 }
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -11,7 +11,7 @@
         },
         shared::Seen,
     },
-    hold::election::Verdict,
+    hold::{Map, election::Verdict},
     key::{Version, Vm, clock::Tick},
     platform::{
         Store,
@@ -28,12 +28,18 @@
 /// The time between two reports.
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 
+/// The entries beyond which each reports more rarely, so that the leader's work stays the same.
+const PACED_ENTRIES: f64 = 20.0;
+
 /// The silence of the leader after which the rows on holders of keys are read from the store.
 const UNHEARD: Duration = Duration::from_millis(700);
 
 /// The time between two such readings.
 const READ_MAPS_EVERY: Duration = Duration::from_millis(800);
 
+/// The wait of the weakest entry before it tries to lead at the first start.
+const WEAKEST_START: Duration = Duration::from_millis(800);
+
 /// The pause before the entry's own row is written again.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -67,6 +73,11 @@
             return;
         }
         let rank = self.rank();
+        // At the first start nobody knows the others yet, and the strongest should lead.
+        let weakness = (1.0 - self.shared.settings.power).clamp(0.0, 1.0);
+        if self.lead.is_none() && self.election.silence(now) < WEAKEST_START.mul_f64(weakness) {
+            return;
+        }
         match self.election.decide(self.leader(), rank, now) {
             Verdict::Wait => {}
             Verdict::Stand => self.stand(now),
@@ -91,10 +102,12 @@
     /// Returns how many entries come before this one when a leader is needed.
     fn rank(&self) -> usize {
         let leader = self.lead.as_ref().map(|lead| &lead.vm);
-        let place = |vm: &Vm| key::rank(vm.as_str(), leader.map_or("", |vm| vm.as_str()));
-        let own = place(&self.me.vm);
-        let others = self.members.keys().filter(|vm| Some(*vm) != leader && **vm != self.me.vm);
-        others.filter(|vm| place(vm) > own).count()
+        let place = |vm: &Vm, power: f64| {
+            (power, key::rank(vm.as_str(), leader.map_or("", |vm| vm.as_str())))
+        };
+        let own = place(&self.me.vm, self.shared.settings.power);
+        let others = self.members.iter().filter(|(vm, _)| Some(*vm) != leader);
+        others.filter(|(vm, member)| place(vm, member.power) > own).count()
     }
 
     fn poll(&mut self, now: Tick) {
@@ -115,7 +128,9 @@
 
     /// Sends a report to the leader if one is due.
     pub(super) fn report(&mut self, now: Tick) {
-        if self.reporting || now.since(self.reported) < REPORT_EVERY {
+        let pace = REPORT_EVERY.mul_f64((self.sharers() as f64 / PACED_ENTRIES).max(1.0));
+        self.election.set_pace(pace);
+        if self.reporting || now.since(self.reported) < pace {
             return;
         }
         self.reported = now;
@@ -157,7 +172,7 @@
             vm: self.me.vm.clone(),
             routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
             maps: maps.collect(),
-            wants_targets: self.is_turned_away(now) || self.registry.is_empty(),
+            wants_targets: self.wants_targets(now),
             load: load.into_iter().map(|(service, keys)| KeyLoad { service, keys }).collect(),
             answers: answers.collect(),
             strikes,
@@ -165,6 +180,10 @@
         }
     }
 
+    fn wants_targets(&self, now: Tick) -> bool {
+        self.is_turned_away(now) || self.registry.is_empty()
+    }
+
     pub(super) fn take_reply(&mut self, leader: &Vm, reply: Option<Reply>, now: Tick) {
         self.reporting = false;
         let Some(reply) = reply else { return };
@@ -183,8 +202,14 @@
         if let Some(routing) = reply.routing {
             self.adopt_routing(routing, "from the leader");
         }
-        self.take_pushed(reply.maps);
-        if let Some(targets) = reply.targets {
+        for new in reply.maps {
+            let map = Map { version: new.version, ..new.map };
+            self.adopt_map(new.service, map);
+        }
+        // Where the list can be read here by now, it is newer than a peer's word.
+        let targets =
+            reply.targets.filter(|targets| self.wants_targets(now) && !targets.is_empty());
+        if let Some(targets) = targets {
             let listed = |vm: &Vm| targets.iter().any(|listed| listed.listing.vm == *vm);
             self.dirty |= self.registry.retain(listed, now);
             for listed in targets {
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -7,7 +7,7 @@
         input::Input,
         lead::LEAD_KEY,
         orders::{self, Way},
-        peers::{Listed, NewMap, Reply, Report},
+        peers::{Listed, NewChange, NewMap, Reply, Report},
     },
     hold::{
         Action, Life, Links, Map, Planner, Span, links,
@@ -40,14 +40,14 @@
 /// The allowance for orders on their way when their connection is given up.
 const MARGIN: Duration = Duration::from_millis(400);
 
-/// The time for which targets are gathered before keys are given out for the first time.
+/// The time without a new target after which keys are given out for the first time.
 const GATHER: Duration = Duration::from_millis(1_200);
 
 /// The time between two lines of the log on the state of the planners.
 const SUM_EVERY: Duration = Duration::from_secs(1);
 
 /// The silence after which an entry is no longer counted.
-const ENTRY_SILENCE: Duration = Duration::from_secs(2);
+const ENTRY_SILENCE: Duration = Duration::from_secs(3);
 
 /// What only the leader has.
 pub(super) struct Leading {
@@ -160,7 +160,8 @@
 
     /// Tells whether this process may order anything now.
     fn has_right(&self, now: Tick) -> bool {
-        let gathered = self.listed_since.is_some_and(|since| now.since(since) >= GATHER);
+        let gathered =
+            !self.maps.is_empty() || self.list_grew.is_some_and(|grew| now.since(grew) >= GATHER);
         let confirmed = self
             .leading
             .as_ref()
@@ -329,14 +330,12 @@
         });
     }
 
-    /// Sends a map to all other entries, which would otherwise learn of it with their next report.
-    fn push(&self, service: &Service, map: Map) {
-        let version = map.version;
-        let new = NewMap { service: service.clone(), version, map };
+    /// Sends a change to all other entries, which would otherwise learn of it with their next report.
+    fn push(&self, change: NewChange) {
         let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
         let others = others.map(|(_, member)| member.address).collect();
         let peers = self.peers.clone();
-        tokio::task::spawn_local(async move { peers.push(others, &[new]).await });
+        tokio::task::spawn_local(async move { peers.push(others, &change).await });
     }
 
     fn note_plan(&self, service: &Service, map: &Map, outcome: &str) {
@@ -363,10 +362,12 @@
         let map = planner.map().clone();
         self.note_plan(service, &map, &format!("{commit:?}"));
         if let Commit::Committed(_) = commit {
-            self.adopt_map(service.clone(), map.clone());
+            let base = self.maps.get(service).map_or(Version::ZERO, |map| map.version);
+            let change = map.change(base);
+            self.adopt_map(service.clone(), map);
             // New holders get their grants at once.
             self.plan(now);
-            self.push(service, map);
+            self.push(NewChange { service: service.clone(), change });
         } else {
             self.read_own(now);
         }
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -8,10 +8,10 @@
     },
     hold::{
         Listing, Map,
-        list::{Known, Presence},
+        list::{Known, Presence, State as Listed},
         map::Holder,
     },
-    key::clock::Tick,
+    key::{Service, clock::Tick},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -19,6 +19,9 @@
 /// and a request takes a moment to arrive.
 const LEAVING_RESERVE: Duration = Duration::from_millis(1_150);
 
+/// The slots of a target of which only the map tells.
+const UNKNOWN_SLOTS: u32 = 2;
+
 /// The entries that a process assumes before it has read how many there are.
 const UNKNOWN_ENTRIES: usize = 32;
 
@@ -37,7 +40,9 @@
         view.ready = ready;
         for (service, map) in self.maps.clone() {
             let usable = |holder: &Holder| {
-                let known = self.registry.get(&holder.life.vm)?;
+                let Some(known) = self.registry.get(&holder.life.vm) else {
+                    return (!self.registry.is_complete(now)).then(|| unlisted(&service, holder));
+                };
                 let same = known.listing.life() == holder.life;
                 (same && self.may_serve(known, now)).then(|| known.listing.clone())
             };
@@ -56,7 +61,7 @@
 
     /// Returns how many entries share a limit. A process that knows too few of them would take too
     /// much, so every entry that has a row counts, and a process without knowledge assumes many.
-    fn sharers(&self) -> usize {
+    pub(super) fn sharers(&self) -> usize {
         if self.own_read { self.entries.max(self.members.len()) } else { UNKNOWN_ENTRIES }
     }
 
@@ -84,3 +89,17 @@
         self.maps.values().any(leaving)
     }
 }
+
+/// Returns what the map says of a target that this process has not seen listed yet.
+fn unlisted(service: &Service, holder: &Holder) -> Listing {
+    Listing {
+        vm: holder.life.vm.clone(),
+        born: holder.life.born,
+        service: service.clone(),
+        address: holder.address,
+        zone: holder.zone.clone(),
+        slots: UNKNOWN_SLOTS,
+        state: Listed::Ready,
+        cold_ms: 0,
+    }
+}
--- a/crates/hold/src/election.rs
+++ b/crates/hold/src/election.rs
@@ -6,9 +6,12 @@
 
 use {key::clock::Tick, std::time::Duration};
 
-/// The silence of the leader after which others ask around.
+/// The shortest silence of the leader after which others ask around.
 const SILENCE: Duration = Duration::from_millis(900);
 
+/// The reports without an answer after which others ask around.
+const SILENT_REPORTS: f64 = 3.5;
+
 /// The silence after which an entry tries to lead although it reaches few others.
 const ALONE: Duration = Duration::from_secs(4);
 
@@ -52,13 +55,19 @@
     heard: Tick,
     not_before: Tick,
     polled: bool,
+    silence: Duration,
 }
 
 impl Election {
     /// Returns what a fresh process knows.
     #[must_use]
     pub const fn new(now: Tick) -> Self {
-        Self { heard: now, not_before: now.plus(START), polled: false }
+        Self { heard: now, not_before: now.plus(START), polled: false, silence: SILENCE }
+    }
+
+    /// Sets the time between two reports to the leader.
+    pub fn set_pace(&mut self, pace: Duration) {
+        self.silence = pace.mul_f64(SILENT_REPORTS).max(SILENCE);
     }
 
     /// Notes that the leader answered, or that a new one is named.
@@ -100,7 +109,7 @@
             Leader::FormerSelf => Verdict::Stand,
             Leader::Nobody if self.silence(now) >= START + turn => Verdict::Stand,
             Leader::Other { resigning: true } if self.silence(now) >= turn => Verdict::Stand,
-            Leader::Other { .. } if self.silence(now) >= SILENCE + turn => {
+            Leader::Other { .. } if self.silence(now) >= self.silence + turn => {
                 if self.polled {
                     Verdict::Stand
                 } else {
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -101,13 +101,18 @@
     targets: BTreeMap<Vm, Known>,
     silent_since: Option<Tick>,
     back_since: Option<Tick>,
+    read_since: Option<Tick>,
 }
 
 impl Registry {
     /// Takes an entry, and tells whether anything but a sign of life is new.
     pub fn list(&mut self, listing: Listing, version: Version, now: Tick) -> bool {
         let before = self.targets.get(&listing.vm);
-        if before.is_some_and(|known| known.version >= version) {
+        // An entry that is read again is there, whatever a peer said meanwhile.
+        let is_old = |known: &Known| {
+            known.version > version || (known.version == version && known.missing.is_none())
+        };
+        if before.is_some_and(is_old) {
             return false;
         }
         let is_new = before.is_none_or(|known| {
@@ -148,8 +153,19 @@
         changed
     }
 
+    /// Tells whether a target that this process has never seen listed can be taken for gone: the list
+    /// has been read for longer than entries are missing after an outage.
+    #[must_use]
+    pub fn is_complete(&self, now: Tick) -> bool {
+        let since = self.read_since.max(self.back_since);
+        self.silent_since.is_none() && since.is_some_and(|since| now.since(since) >= RETURN)
+    }
+
     /// Notes whether the list could be read.
     pub fn note_reading(&mut self, answered: bool, now: Tick) {
+        if answered {
+            self.read_since.get_or_insert(now);
+        }
         match (answered, self.silent_since) {
             (false, None) => self.silent_since = Some(now),
             (true, Some(_)) => {
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -62,7 +62,11 @@
 }
 
 /// A target that holds keys.
+///
+/// In a row it is an array, since a row has room for some hundred targets only if names of fields do
+/// not stand with each.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "HolderRow", into = "HolderRow")]
 pub struct Holder {
     /// Its run.
     pub life: Life,
@@ -72,8 +76,9 @@
     pub zone: Zone,
 }
 
-/// Keys with one holder.
+/// Keys with one holder; in a row an array like [`Holder`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "HoldingRow", into = "HoldingRow")]
 pub struct Holding {
     /// The keys.
     pub span: Span,
@@ -83,6 +88,39 @@
     pub fence: Fence,
 }
 
+/// The name, the start of the run, the address and the zone.
+#[derive(Serialize, Deserialize)]
+struct HolderRow(Vm, u64, SocketAddr, Zone);
+
+impl From<HolderRow> for Holder {
+    fn from(row: HolderRow) -> Self {
+        Self { life: Life { vm: row.0, born: row.1 }, address: row.2, zone: row.3 }
+    }
+}
+
+impl From<Holder> for HolderRow {
+    fn from(holder: Holder) -> Self {
+        Self(holder.life.vm, holder.life.born, holder.address, holder.zone)
+    }
+}
+
+/// The first key, the last key, the index of the holder and the fence.
+#[derive(Serialize, Deserialize)]
+struct HoldingRow(u16, u16, Option<u16>, u64);
+
+impl From<HoldingRow> for Holding {
+    fn from(row: HoldingRow) -> Self {
+        let span = Span { first: row.0, last: row.1 };
+        Self { span, holder: row.2, fence: Fence::from(row.3) }
+    }
+}
+
+impl From<Holding> for HoldingRow {
+    fn from(holding: Holding) -> Self {
+        Self(holding.span.first, holding.span.last, holding.holder, holding.fence.get())
+    }
+}
+
 /// Why a row cannot be read.
 #[derive(Debug, Derive)]
 pub enum Error {
@@ -94,6 +132,26 @@
     Gap,
 }
 
+/// Keys that were given to a holder, or to nobody.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Given {
+    /// The keys.
+    pub span: Span,
+    /// The holder.
+    pub holder: Option<Holder>,
+}
+
+/// What one write changed in a map.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version of the map before.
+    pub base: Version,
+    /// The version of the map after.
+    pub version: Version,
+    /// The keys whose holder or fence changed.
+    pub given: Vec<Given>,
+}
+
 /// The holders of all keys of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Map {
@@ -157,11 +215,24 @@
         self.holders.get(usize::from(holding.holder?))
     }
 
+    /// Returns each holder with its holdings.
+    #[must_use]
+    pub fn by_holder(&self) -> Vec<(Holder, Vec<Holding>)> {
+        let mut held: Vec<Vec<Holding>> = vec![Vec::new(); self.holders.len()];
+        for holding in &self.holdings {
+            if let Some(holdings) = holding.holder.and_then(|at| held.get_mut(usize::from(at))) {
+                holdings.push(*holding);
+            }
+        }
+        self.holders.iter().cloned().zip(held).collect()
+    }
+
     /// Returns the holdings of a run of a target.
-    pub fn held_by<'a>(&'a self, life: &'a Life) -> impl Iterator<Item = &'a Holding> {
-        self.holdings
-            .iter()
-            .filter(move |holding| self.holder(holding).is_some_and(|holder| holder.life == *life))
+    pub fn held_by<'a>(&'a self, life: &Life) -> impl Iterator<Item = &'a Holding> + use<'a> {
+        let index = self.holders.iter().position(|holder| holder.life == *life);
+        let index = index.map(|index| index as u16);
+        let held = move |holding: &&Holding| index.is_some() && holding.holder == index;
+        self.holdings.iter().filter(held)
     }
 
     /// Gives keys to a holder, or to nobody, with a fence that the store will give.
@@ -187,6 +258,33 @@
         self.merge();
     }
 
+    /// Returns what the newest write changed, so that whoever has the map before can make this one.
+    #[must_use]
+    pub fn change(&self, base: Version) -> Change {
+        let newest = Fence::from(self.version.get());
+        let changed = self.holdings.iter().filter(|holding| holding.fence == newest);
+        let given = changed
+            .map(|holding| Given { span: holding.span, holder: self.holder(holding).cloned() });
+        Change { base, version: self.version, given: given.collect() }
+    }
+
+    /// Returns the map after a change, if the change rests on this map.
+    #[must_use]
+    pub fn after(&self, change: &Change) -> Option<Self> {
+        if change.base != self.version {
+            return None;
+        }
+        let mut map = self.clone();
+        for given in &change.given {
+            map.assign(given.span, given.holder.clone());
+        }
+        for holding in map.holdings.iter_mut().filter(|holding| holding.fence == Fence::ZERO) {
+            holding.fence = Fence::from(change.version.get());
+        }
+        map.version = change.version;
+        Some(map)
+    }
+
     /// Gives the holdings of one run of a target a new fence.
     pub fn refence_holder(&mut self, life: &Life) {
         let index = self.holders.iter().position(|holder| holder.life == *life);
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -34,9 +34,12 @@
 /// The stripes of each target in the first map.
 const STRIPES: usize = 3;
 
-/// The most moves at a time.
+/// The most moves at a time, for a small service.
 const MOVES: usize = 8;
 
+/// For a larger one, a move for each so many targets.
+const TARGETS_A_MOVE: usize = 8;
+
 /// The most releases at a time by one target that is leaving.
 const MOVES_EACH: usize = 4;
 
@@ -142,6 +145,12 @@
     pub holders: usize,
     /// The targets that may give keys away or take some.
     pub candidates: usize,
+    /// The targets that are ready by the list.
+    pub ready: usize,
+    /// The targets to which orders are under way.
+    pub busy: usize,
+    /// The targets to which the last orders failed.
+    pub silent: usize,
     /// The spans that are being taken back.
     pub releasing: usize,
     /// The spans that were taken back and not yet given on.
@@ -300,6 +309,9 @@
             holdings: self.map.holdings.len(),
             holders: self.map.holders.len(),
             candidates: candidates.len(),
+            ready: self.ready(registry, now).count(),
+            busy: self.contacts.values().filter(|contact| contact.busy).count(),
+            silent: self.contacts.values().filter(|contact| contact.failures > 0).count(),
             releasing: self.moves.iter().filter(|moving| moving.step == Step::Releasing).count(),
             released: self.moves.len()
                 - self.moves.iter().filter(|moving| moving.step == Step::Releasing).count(),
@@ -368,11 +380,12 @@
             // could not tell from the earlier one.
             return actions;
         }
-        for holder in self.map.holders.clone() {
+        let given = self.given_away();
+        for (holder, holdings) in self.map.by_holder() {
             if self.has_ended(registry, &holder) || !self.may_order(&holder, now) {
                 continue;
             }
-            let grants = self.due_grants(&holder.life, now);
+            let grants = self.due_grants(&holder.life, &holdings, &given, now);
             if grants.is_empty() {
                 continue;
             }
@@ -392,14 +405,20 @@
         self.contacts.get(&holder.life).is_none_or(|contact| contact.may_order(now))
     }
 
-    fn due_grants(&self, life: &Life, now: Tick) -> Vec<Grant> {
+    fn due_grants(
+        &self,
+        life: &Life,
+        holdings: &[Holding],
+        given: &[(Span, Option<Life>)],
+        now: Tick,
+    ) -> Vec<Grant> {
         let contact = self.contacts.get(life);
         let sent = contact.and_then(|contact| contact.sent);
         let due = sent.is_none_or(|sent| now.since(sent) >= self.config.renew);
         let mut grants = Vec::new();
         let barrier = contact.map_or(Fence::ZERO, |contact| contact.barrier);
-        for holding in self.map.held_by(life).filter(|holding| holding.fence > barrier) {
-            for span in self.kept(holding.span, life) {
+        for holding in holdings.iter().filter(|holding| holding.fence > barrier) {
+            for span in kept(holding.span, life, given) {
                 if !due && contact.is_some_and(|contact| contact.covers(span, holding.fence)) {
                     continue;
                 }
@@ -412,20 +431,19 @@
         grants
     }
 
-    /// Returns the parts of a span that stay with their holder for now: those that are not being
-    /// moved, and that no write gives away that is under way or may still take effect. A successor
-    /// would rest on that row.
-    fn kept(&self, span: Span, life: &Life) -> Vec<Span> {
-        let moving = self.moves.iter().map(|moving| moving.span);
+    /// Returns the spans that their holders do not keep: those that are being moved, and those that
+    /// a write gives to another holder that is under way or may still take effect. A successor would
+    /// rest on that row.
+    fn given_away(&self) -> Vec<(Span, Option<Life>)> {
+        let moving = self.moves.iter().map(|moving| (moving.span, None));
         let writes = self.writing.iter().chain(&self.doubtful);
-        let given = writes.flat_map(|map| {
-            let foreign =
-                |holding: &&Holding| map.holder(holding).is_none_or(|holder| holder.life != *life);
-            map.holdings.iter().filter(foreign).map(|holding| holding.span)
+        let changed = writes.flat_map(|map| {
+            let is_new = |holding: &&Holding| holding.fence == Fence::ZERO;
+            map.holdings.iter().filter(is_new).map(|holding| {
+                (holding.span, map.holder(holding).map(|holder| holder.life.clone()))
+            })
         });
-        moving.chain(given).fold(vec![span], |parts, gone| {
-            parts.into_iter().flat_map(|part| part.without(gone)).flatten().collect()
-        })
+        moving.chain(changed).collect()
     }
 
     /// Takes the results of grants that were sent, in order, and tells whether another process
@@ -550,7 +568,8 @@
         self.balanced = now;
         self.load.decay(seconds);
         let candidates = self.candidates(registry, now);
-        balance::shifts(&self.map, &self.load, &candidates, MOVES)
+        let limit = MOVES.max(candidates.len() / TARGETS_A_MOVE);
+        balance::shifts(&self.map, &self.load, &candidates, limit)
             .into_iter()
             .map(|shift| Move {
                 span: shift.span,
@@ -807,12 +826,23 @@
     }
 }
 
-fn is_leaving(registry: &Registry, holder: &Holder, now: Tick) -> bool {
-    registry.get(&holder.life.vm).is_some_and(|known| {
-        known.listing.life() == holder.life && registry.presence(known, now) != Presence::Ready
+/// Returns the parts of a span that stay with their holder for now.
+fn kept(span: Span, life: &Life, given: &[(Span, Option<Life>)]) -> Vec<Span> {
+    let gone = given.iter().filter(|(_, to)| to.as_ref() != Some(life)).map(|(span, _)| *span);
+    gone.fold(vec![span], |parts, gone| {
+        parts.into_iter().flat_map(|part| part.without(gone)).flatten().collect()
     })
 }
 
+fn is_leaving(registry: &Registry, holder: &Holder, now: Tick) -> bool {
+    match registry.get(&holder.life.vm) {
+        Some(known) => {
+            known.listing.life() == holder.life && registry.presence(known, now) != Presence::Ready
+        }
+        None => registry.is_complete(now),
+    }
+}
+
 fn holder(known: &Known) -> Holder {
     Holder {
         life: known.listing.life(),
--- a/crates/hold/tests/list.rs
+++ b/crates/hold/tests/list.rs
@@ -155,3 +155,24 @@
         assert_eq!(registry.is_settling(span, at_ms(ms)), settling, "at {ms} ms");
     }
 }
+
+#[test]
+fn an_entry_that_is_read_again_is_there_whatever_a_peer_said() {
+    let mut registry = Registry::default();
+    registry.list(listing(State::Ready, 1), Version::from(3), at_ms(1_000));
+    registry.retain(|_| false, at_ms(2_000));
+    assert!(registry.is_empty());
+    assert!(registry.list(listing(State::Ready, 1), Version::from(3), at_ms(3_000)));
+    assert_eq!(registry.len(), 1);
+}
+
+#[test]
+fn a_target_that_was_never_listed_is_gone_once_the_list_was_read_for_a_while() {
+    let mut registry = Registry::default();
+    let cases = [(500, false), (1_000, false), (2_900, false), (3_100, true)];
+    registry.note_reading(false, at_ms(100));
+    registry.note_reading(true, at_ms(1_000));
+    for (ms, complete) in cases {
+        assert_eq!(registry.is_complete(at_ms(ms)), complete, "at {ms} ms");
+    }
+}
