Reach hot keys inside a span, and judge moves by their gain

Change: a part may begin at the busiest key that fits; a move counts from 8 % of a target's slots on.

--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -17,8 +17,11 @@
 /// The utilisation below which a target has nothing to give away.
 const BUSY: f64 = 0.35;
 
-/// The part of the ideal rate that a move must carry at least.
-const LEAST_PART: f64 = 0.3;
+/// The gain in utilisation that a move must bring at least.
+const LEAST_GAIN: f64 = 0.08;
+
+/// What a part inside a span is worth against one at an end, since it leaves one span more.
+const INNER_WORTH: f64 = 0.8;
 
 /// The weight of a new observation of service time.
 const TIME_WEIGHT: f64 = 0.2;
@@ -85,27 +88,37 @@
         time / f64::from(candidate.slots.max(1))
     }
 
-    /// Returns the part at an end of `span` whose rate comes nearest to `rate` from below.
-    fn end_of(&self, span: Span, rate: f64) -> Option<(Span, f64)> {
+    /// Returns the part of `span` whose rate comes nearest to `rate` from below: one at an end, so that
+    /// little is cut, or one from a busy key on, so that such a key is reached inside the span.
+    fn part_of(&self, span: Span, rate: f64) -> Option<(Span, f64)> {
         let keys: Vec<(u16, f64)> =
             self.rates.range(span.first..=span.last).map(|(key, rate)| (*key, *rate)).collect();
-        let take = |iterator: &mut dyn Iterator<Item = &(u16, f64)>| {
-            let (mut sum, mut last) = (0.0, None);
-            for (key, own) in iterator {
-                if sum + own > rate {
-                    break;
-                }
-                sum += own;
-                last = Some(*key);
-            }
-            last.map(|key| (key, sum))
-        };
-        let front =
-            take(&mut keys.iter()).map(|(key, sum)| (Span { first: span.first, last: key }, sum));
-        let back = take(&mut keys.iter().rev())
+        let front = take(&mut keys.iter(), rate)
+            .map(|(key, sum)| (Span { first: span.first, last: key }, sum));
+        let back = take(&mut keys.iter().rev(), rate)
             .map(|(key, sum)| (Span { first: key, last: span.last }, sum));
-        front.into_iter().chain(back).max_by(|a, b| a.1.total_cmp(&b.1))
+        let fitting = keys.iter().enumerate().filter(|(_, (_, own))| *own <= rate);
+        let busiest = fitting.max_by(|a, b| a.1.1.total_cmp(&b.1.1)).map(|(at, _)| at);
+        let inner = busiest.and_then(|at| {
+            let (last, sum) = take(&mut keys[at..].iter(), rate)?;
+            Some((Span { first: keys[at].0, last }, sum * INNER_WORTH))
+        });
+        let parts = front.into_iter().chain(back).chain(inner);
+        parts.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+}
+
+/// Returns the last of the keys that together have at most `rate`, and their rate.
+fn take(keys: &mut dyn Iterator<Item = &(u16, f64)>, rate: f64) -> Option<(u16, f64)> {
+    let (mut sum, mut last) = (0.0, None);
+    for (key, own) in keys {
+        if sum + own > rate {
+            break;
+        }
+        sum += own;
+        last = Some(*key);
     }
+    last.map(|key| (key, sum))
 }
 
 /// Divides all keys evenly among targets, in several stripes each so that neighbours are apart.
@@ -158,11 +171,12 @@
         }
         let rate = gap / (load.cost(&candidates[busy]) + load.cost(&candidates[idle]));
         let ends = held[busy].iter().enumerate().filter_map(|(at, span)| {
-            let (end, moved) = load.end_of(*span, rate)?;
+            let (end, moved) = load.part_of(*span, rate)?;
             Some((at, end, moved))
         });
         let best = ends.max_by(|a, b| a.2.total_cmp(&b.2));
-        let Some((at, span, _)) = best.filter(|(_, _, moved)| *moved >= rate * LEAST_PART) else {
+        let least = LEAST_GAIN / load.cost(&candidates[busy]);
+        let Some((at, span, _)) = best.filter(|(_, _, moved)| *moved >= least) else {
             settled[busy] = true;
             continue;
         };
