Split the planner by what it does; keep the callers' words in the stand-in

A success without a target's signature counts as broken; the unused log level of the platform's settings is gone.

--- a/crates/conf/src/fleet.rs
+++ b/crates/conf/src/fleet.rs
@@ -5,7 +5,7 @@
 //! add some.
 
 use {
-    crate::{Bound, Error, ErrorKind, Time, parse::parse, settings::LogLevel},
+    crate::{Bound, Error, ErrorKind, Time, parse::parse},
     key::{Vm, Zone},
     serde::Deserialize,
     std::{fs, net::SocketAddr, path::Path},
@@ -45,9 +45,6 @@
     /// The share of a core that this process may use.
     #[serde(default = "default_power")]
     pub power: f64,
-    /// The least severe log level that is written.
-    #[serde(default)]
-    pub log_level: LogLevel,
     /// The log lines of one kind that may be written in a second.
     #[serde(default = "default_log_rate")]
     pub log_lines_per_s: Bound<1, 100_000>,
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -125,6 +125,9 @@
         drain(response.into_body(), connection).await;
         return Attempt::Denied(denial);
     }
+    if response.status().is_success() && !header::is_signed(response.headers()) {
+        return Attempt::Broken;
+    }
     if response.status().is_success() {
         target.note_latency(began.elapsed());
     }
--- /dev/null
+++ b/crates/hold/src/planner/contact.rs
@@ -0,0 +1,70 @@
+//! What is known of the orders to one run of a target.
+
+use {
+    crate::map::Span,
+    key::{Fence, clock::Tick},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// The time for which a target is left alone after an order to it failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(800);
+
+/// A grant that was sent and not answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lost {
+    pub(super) span: Span,
+    pub(super) fence: Fence,
+    pub(super) until: Tick,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Contact {
+    pub(super) busy: bool,
+    /// When grants were last sent.
+    pub(super) sent: Option<Tick>,
+    /// The highest fence that the target has answered to, for each span.
+    pub(super) fences: BTreeMap<Span, Fence>,
+    /// The highest fence that was sent.
+    pub(super) highest: Fence,
+    /// Only higher fences may be sent: an order failed, so that the run of the target is in doubt.
+    pub(super) barrier: Fence,
+    /// Grants that may still be obeyed.
+    pub(super) lost: Vec<Lost>,
+    pub(super) failures: u32,
+    /// When an order last failed.
+    pub(super) failed: Tick,
+}
+
+impl Contact {
+    /// Notes that the target has answered to a fence, which voids lower ones.
+    pub(super) fn answer(&mut self, span: Span, fence: Fence) {
+        self.fences.retain(|known, _| !known.overlaps(span));
+        self.fences.insert(span, fence);
+        let lost = std::mem::take(&mut self.lost);
+        for grant in lost {
+            if grant.fence >= fence {
+                self.lost.push(grant);
+                continue;
+            }
+            let rest = grant.span.without(span).into_iter().flatten();
+            self.lost.extend(rest.map(|span| Lost { span, ..grant }));
+        }
+    }
+
+    /// Tells whether an order may be sent now.
+    pub(super) fn may_order(&self, now: Tick) -> bool {
+        !self.busy && (self.failures == 0 || now.since(self.failed) >= FAILURE_PAUSE)
+    }
+
+    /// Tells whether a grant without an answer may still be obeyed.
+    pub(super) fn may_obey(&self, now: Tick) -> bool {
+        self.lost.iter().any(|grant| grant.until > now)
+    }
+
+    /// Tells whether the target has answered to a fence for every key of a span.
+    pub(super) fn covers(&self, span: Span, fence: Fence) -> bool {
+        self.fences.iter().any(|(known, seen)| {
+            known.first <= span.first && span.last <= known.last && *seen == fence
+        })
+    }
+}
--- /dev/null
+++ b/crates/hold/src/planner/moves.rs
@@ -0,0 +1,146 @@
+//! Taking keys back, from targets that leave and for balance.
+
+use {
+    super::{Action, Move, Outcome, Planner, Step, is_leaving},
+    crate::{
+        balance::{self, Candidate},
+        list::Registry,
+        map::{Life, Span},
+    },
+    key::{Fence, clock::Tick},
+    smol_str::SmolStr,
+};
+
+/// The most moves at a time, for a small service.
+const MOVES: usize = 8;
+
+/// For a larger one, a move for each so many targets.
+const TARGETS_A_MOVE: usize = 8;
+
+/// The most releases at a time by one target that is leaving.
+const MOVES_EACH: usize = 4;
+
+impl Planner {
+    pub(super) fn releases(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
+        let mut wanted = self.departures(registry, now);
+        if wanted.is_empty() && self.moves.is_empty() {
+            wanted = self.rebalance(registry, now);
+        }
+        let mut actions = Vec::new();
+        for moving in wanted {
+            let Some(holder) = self.map.holders.iter().find(|holder| holder.life == moving.from)
+            else {
+                continue;
+            };
+            let Some(holding) = self.map.holding(moving.span.first) else { continue };
+            actions.push(Action::Release {
+                life: moving.from.clone(),
+                address: holder.address,
+                span: moving.span,
+                fence: holding.fence,
+            });
+            self.moves.push(moving);
+        }
+        actions
+    }
+
+    /// Returns the moves away from targets that are leaving.
+    fn departures(&self, registry: &Registry, now: Tick) -> Vec<Move> {
+        let mut moves: Vec<Move> = Vec::new();
+        if self.ready(registry, now).next().is_none() {
+            return moves;
+        }
+        for holder in &self.map.holders {
+            let mut under_way =
+                self.moves.iter().filter(|moving| moving.from == holder.life).count();
+            if !is_leaving(registry, holder, now) || !self.can_release(&holder.life, now) {
+                continue;
+            }
+            for holding in self.map.held_by(&holder.life) {
+                let span = holding.span;
+                if under_way >= MOVES_EACH {
+                    break;
+                }
+                if !self.moves.iter().any(|moving| moving.span.overlaps(span)) {
+                    let from = holder.life.clone();
+                    moves.push(Move { span, from, to: None, step: Step::Releasing });
+                    under_way += 1;
+                }
+            }
+        }
+        moves
+    }
+
+    /// Tells whether keys can be taken from a target: it has answered to its present fences, so that
+    /// no former leader can renew there, and no grant is on its way that could overtake a release or
+    /// be obeyed after it.
+    pub(super) fn can_release(&self, life: &Life, now: Tick) -> bool {
+        self.has_answered(life)
+            && self.contacts.get(life).is_some_and(|contact| !contact.may_obey(now))
+    }
+
+    /// Tells whether a target has answered to all its present fences.
+    pub(super) fn has_answered(&self, life: &Life) -> bool {
+        let Some(contact) = self.contacts.get(life).filter(|contact| !contact.busy) else {
+            return false;
+        };
+        let answered = |span: Span, fence: Fence| {
+            contact.fences.iter().any(|(known, seen)| known.overlaps(span) && *seen >= fence)
+        };
+        contact.failures == 0
+            && self.map.held_by(life).all(|holding| answered(holding.span, holding.fence))
+    }
+
+    fn rebalance(&mut self, registry: &Registry, now: Tick) -> Vec<Move> {
+        let seconds = now.since(self.balanced).as_secs_f64();
+        self.balanced = now;
+        self.load.decay(seconds);
+        let candidates = self.candidates(registry, now);
+        let limit = MOVES.max(candidates.len() / TARGETS_A_MOVE);
+        balance::shifts(&self.map, &self.load, &candidates, limit)
+            .into_iter()
+            .map(|shift| Move {
+                span: shift.span,
+                from: shift.from,
+                to: Some(shift.to),
+                step: Step::Releasing,
+            })
+            .collect()
+    }
+
+    /// Returns the targets that may give keys away or take some.
+    pub(super) fn candidates(&self, registry: &Registry, now: Tick) -> Vec<Candidate> {
+        self.ready(registry, now)
+            .filter(|known| {
+                let life = known.listing.life();
+                self.can_release(&life, now)
+                    || (self.map.held_by(&life).next().is_none() && known.listing.cold_ms == 0)
+            })
+            .map(|known| Candidate { life: known.listing.life(), slots: known.listing.slots })
+            .collect()
+    }
+
+    /// Takes the result of a release.
+    pub fn released(&mut self, life: &Life, span: Span, result: Result<Option<SmolStr>, Outcome>) {
+        let Some(at) =
+            self.moves.iter().position(|moving| moving.from == *life && moving.span == span)
+        else {
+            return;
+        };
+        match result {
+            Ok(handover) => {
+                self.ledger.remove(life, span);
+                self.moves[at].step = Step::Released(handover);
+            }
+            Err(outcome) => {
+                self.moves.remove(at);
+                if outcome == Outcome::Ended {
+                    self.end(life);
+                }
+                // The target may have obeyed, so what it holds is granted anew.
+                let contact = self.contacts.entry(life.clone()).or_default();
+                contact.fences.retain(|known, _| !known.overlaps(span));
+            }
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 journals by [`check`], never from the product's own logs. None of this is shipped.
 */
 
+pub mod caller;
 pub mod check;
 pub mod holder;
 pub mod journal;
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -21,5 +21,5 @@
     fleet::{Fleet, eventually},
     load::{Load, Seen},
     plan::{KEYED, Plan},
-    site::{Request, Response, Route, Site, Sketch},
+    site::{Request, Response, Site, Sketch},
 };
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -13,9 +13,9 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    serde::Serialize,
-    serde_json::{Value, json},
+    serde_json::json,
     standin::{
+        caller::{self, Route},
         holder,
         journal::{self, Line},
         proxy::{self, Proxy},
@@ -105,7 +105,7 @@
     pub fn is_served(&self) -> bool {
         let body = String::from_utf8_lossy(&self.body);
         self.status == Some(StatusCode::OK)
-            && self.headers.contains_key("response-signature")
+            && caller::is_signed(&self.headers)
             && body.split(' ').nth(1) == Some(self.id.as_str())
     }
 
@@ -116,17 +116,6 @@
     }
 }
 
-/// A route of the routing text.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Route {
-    /// The beginning of the path.
-    pub prefix: &'static str,
-    /// What may be repeated, in the platform's words.
-    pub kind: &'static str,
-    /// The service.
-    pub service: &'static str,
-}
-
 /// The routes that a site starts with.
 const ROUTES: [Route; 2] = [
     Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
@@ -331,28 +320,7 @@
 
     /// Writes a version of the routing text.
     pub fn configure(&self, version: u64, routes: &[Route]) {
-        let paths = routes.iter().map(|route| {
-            json!({
-                "name": route.prefix,
-                "pathPrefix": route.prefix,
-                "kind": route.kind,
-                "timeout": "1000ms",
-                "targetLatency": "400ms",
-                "priority": 1,
-                "maxAttempts": 2,
-                "service": route.service,
-            })
-        });
-        let paths: Vec<Value> = paths.collect();
-        let text = json!({
-            "version": version,
-            "services": [
-                { "name": "catalogue", "maxConns": 130, "sharded": true },
-                { "name": "orders", "maxConns": 130 },
-            ],
-            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "idleTimeout": "15s" },
-            "hosts": [{ "host": HOST, "paths": paths }],
-        });
+        let text = caller::routing(version, HOST, routes);
         self.store.write("op", "config", text.to_string().as_bytes());
     }
 
@@ -368,11 +336,9 @@
         let mut builder = http::Request::builder()
             .method(&request.method)
             .uri(format!("http://{}{}", self.entries[entry].callers, request.path))
-            .header("host", HOST)
-            .header("attempt-id", &id)
-            .header("deadline-remaining", request.deadline_ms);
-        if let Some(key) = request.key {
-            builder = builder.header("shard-key", key);
+            .header("host", HOST);
+        for (name, value) in caller::headers(&id, request.deadline_ms, request.key) {
+            builder = builder.header(name, value);
         }
         let body = if request.method == Method::GET { "" } else { "a body" };
         let built = builder.body(Full::new(Bytes::from(body))).expect("a whole request");
--- a/crates/trial/tests/site.rs
+++ b/crates/trial/tests/site.rs
@@ -1,10 +1,10 @@
 //! The whole path on the users' platform, with real processes.
 
 use {
-    standin::{check, holder, proxy, rows},
+    standin::{caller::Route, check, holder, proxy, rows},
     std::{collections::HashSet, time::Duration},
     tokio::time,
-    trial::{Request, Route, Site, Sketch, eventually},
+    trial::{Request, Site, Sketch, eventually},
 };
 
 /// Checks what must hold whatever happened.
