--- a/crates/conf/tests/fleet.rs
+++ b/crates/conf/tests/fleet.rs
@@ -36,7 +36,12 @@
         Case { name: "a time without unit", from: "\"6s\"", to: "\"6\"", contradiction: false },
         Case { name: "a time as a number", from: "\"6s\"", to: "6", contradiction: false },
         Case { name: "too short a grace", from: "\"6s\"", to: "\"500ms\"", contradiction: true },
-        Case { name: "a ratio beyond one", from: "0.2", to: "1.2", contradiction: true },
+        Case {
+            name: "a ratio beyond one",
+            from: "\"ratio\": 0.2",
+            to: "\"ratio\": 1.2",
+            contradiction: true,
+        },
         Case { name: "too long a hold", from: "10000ms", to: "7000ms", contradiction: true },
     ];
     for case in cases {
