Take entries of other writers for no proof of an end

Ruled out: a grant that overtook a release, and the leader's right (the former fence was in force). Change: entries that name no service of the routing text are no targets. Test: trial::site::entries_of_other_writers_disturb_nobody, red before (two holders of key 0) and green after; hold::list::an_entry_of_another_writer_proves_no_end.

--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -16,7 +16,7 @@
         view::Pool,
     },
     conf::routing::Routing,
-    hold::{Election, Map, Registry, election::Leader},
+    hold::{Election, Listing, Map, Registry, election::Leader},
     key::{Process, Service, Version, Vm, clock::Tick},
     leading::Leading,
     platform::{
@@ -238,6 +238,8 @@
         }
         self.believe("routing", routing.version, source);
         self.shared.counters.set("routing_version", routing.version.get());
+        let named = |service: &Service| routing.service(service).is_some();
+        self.registry.forget(|listing| !named(&listing.service));
         self.routing = Some(Arc::new(routing));
         self.dirty = true;
     }
@@ -259,6 +261,9 @@
                 continue;
             };
             match text::listing(&row.key, value) {
+                Ok(listing) if !self.knows_service(&listing) => {
+                    self.believe_target(&vm, row.version, "names no known service");
+                }
                 Ok(listing) => {
                     let state = format!("{:?}", listing.state);
                     if self.registry.list(listing, row.version, now) {
@@ -274,6 +279,13 @@
         }
     }
 
+    /// Tells whether an entry of the list can be a target's own: one that names no service of the
+    /// routing text comes from another writer, and proves nothing about the address it names.
+    fn knows_service(&self, listing: &Listing) -> bool {
+        let Some(routing) = &self.routing else { return true };
+        routing.service(&listing.service).is_some()
+    }
+
     fn believe_target(&self, vm: &Vm, version: Version, detail: &str) {
         self.shared
             .journal
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -128,6 +128,11 @@
         is_new
     }
 
+    /// Drops entries that turn out to be no target's own.
+    pub fn forget(&mut self, foreign: impl Fn(&Listing) -> bool) {
+        self.targets.retain(|_, known| !foreign(&known.listing));
+    }
+
     /// Notes that an entry was removed, and tells whether that is new.
     pub fn remove(&mut self, vm: &Vm, now: Tick) -> bool {
         // While the store is silent here, a peer's knowledge of it may already be later than the end
--- a/crates/hold/tests/list.rs
+++ b/crates/hold/tests/list.rs
@@ -176,3 +176,17 @@
         assert_eq!(registry.is_complete(at_ms(ms)), complete, "at {ms} ms");
     }
 }
+
+#[test]
+fn an_entry_of_another_writer_proves_no_end() {
+    let mut registry = Registry::default();
+    let own = listing(State::Ready, 1);
+    let (life, address) = (own.life(), own.address);
+    registry.list(own, Version::from(1), at_ms(1));
+    let service = Service::from("unheard of");
+    let foreign = Listing { vm: Vm::from("f"), service, ..listing(State::Ready, 9) };
+    registry.list(foreign, Version::from(2), at_ms(2));
+    assert!(registry.has_ended(&life, address));
+    registry.forget(|listing| listing.service.as_str() == "unheard of");
+    assert!(!registry.has_ended(&life, address));
+}
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -134,6 +134,7 @@
 /// A target with a proxy before it.
 struct Target {
     address: SocketAddr,
+    registered: SocketAddr,
     arguments: Vec<String>,
     proxy: Arc<Proxy>,
     process: Option<Process>,
@@ -219,7 +220,8 @@
             arguments.push("--keyed".to_owned());
         }
         let process = Some(Process::start("standin", &arguments, &self.folder.join("targets.log")));
-        self.targets.push(Target { address: listen_at, arguments, proxy, process });
+        let registered = address;
+        self.targets.push(Target { address: listen_at, registered, arguments, proxy, process });
     }
 
     fn add_entry(&mut self, number: usize, hold_ms: u64, store: SocketAddr) {
@@ -302,6 +304,12 @@
         self.targets[number].process = Some(Process::start("standin", &arguments, &log));
     }
 
+    /// Returns the address that a target registers.
+    #[must_use]
+    pub fn target_address(&self, number: usize) -> SocketAddr {
+        self.targets[number].registered
+    }
+
     /// Sets the faults of a target.
     ///
     /// # Panics
--- a/crates/trial/tests/site.rs
+++ b/crates/trial/tests/site.rs
@@ -206,3 +206,34 @@
     assert_eq!(site.exit_code(0), Some(0));
     site.await_served(1, &Request::order()).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_of_other_writers_disturb_nobody() {
+    let site = Site::start(Sketch::default()).await;
+    let first = site.target_address(0);
+    let cases = [
+        "not JSON".to_owned(),
+        "{}".to_owned(),
+        format!(
+            r#"{{"service":"unheard of","address":"{first}","zone":"a","slots":2,"state":"ready","born":9000000000000}}"#
+        ),
+        format!(
+            r#"{{"service":"catalogue","address":"{first}","zone":"a","slots":"2","state":"ready","born":9000000000000}}"#
+        ),
+        format!(
+            r#"{{"service":"catalogue","address":"{first}","zone":"a","slots":2,"state":"resting","born":9000000000000}}"#
+        ),
+    ];
+    for (number, text) in cases.iter().enumerate() {
+        site.store.write("servers", &format!("foreign-{number}"), text.as_bytes());
+    }
+    let until = time::Instant::now() + Duration::from_secs(3);
+    while time::Instant::now() < until {
+        for key in (0..=u16::MAX).step_by(8_191) {
+            let answer = site.send(0, &Request::lookup(key)).await;
+            assert!(answer.is_served(), "{answer:?}");
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    check_promises(&site, &HashSet::new());
+}
