--- a/deploy/kinds.sh
+++ b/deploy/kinds.sh
@@ -43,7 +43,7 @@
     line="$("$bench" run "$site" "$days/$kind.toml" --jobs 1 2>&1 | grep -E "^$kind " | head -n 1 || true)"
     worth="$(awk '{print $4}' <<<"$line")"
     broken="$(grep -oE 'BROKEN: [A-Z]+' <<<"$line" || true)"
-    row="$row ${worth:-not played} ${broken:-kept} |"
+    if [ -n "$worth" ]; then row="$row $worth ${broken:-kept} |"; else row="$row not played |"; fi
   done
   echo "$row"
 done
