Take keys back only when no doubled answer can be outstanding

Change: a release waits 150 ms after the last answer; a connection that ends while idle, as it does when an answer comes unasked, bars lower fences.

--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -175,6 +175,9 @@
         }
         self.make_planners(now);
         let Some(leading) = &mut self.leading else { return };
+        for life in leading.links.take_ended(|link| !link.is_closed()) {
+            leading.planners.values_mut().for_each(|planner| planner.doubt(&life, now));
+        }
         let registry = &self.registry;
         let steps: Vec<(Service, Vec<Action>)> = leading
             .planners
--- a/crates/hold/src/links.rs
+++ b/crates/hold/src/links.rs
@@ -40,6 +40,20 @@
         }
     }
 
+    /// Takes away the connections that have ended while nobody used them, and returns whose they were.
+    pub fn take_ended(&mut self, is_open: impl Fn(&L) -> bool) -> Vec<Life> {
+        let ended: Vec<Life> = self
+            .idle
+            .iter()
+            .filter(|(_, link)| !is_open(link))
+            .map(|(life, _)| life.clone())
+            .collect();
+        for life in &ended {
+            self.idle.remove(life);
+        }
+        ended
+    }
+
     /// Gives a connection back.
     pub fn give_back(&mut self, life: &Life, link: L) {
         self.idle.insert(life.clone(), link);
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -222,6 +222,14 @@
         }
     }
 
+    /// Notes that the connection for grants to a target has ended while nothing was sent: an answer may
+    /// have been that of another order.
+    pub fn doubt(&mut self, life: &Life, now: Tick) {
+        if let Some(contact) = self.contacts.get_mut(life) {
+            contact.fail(now);
+        }
+    }
+
     /// Tells whether a holder of keys is proved to have ended.
     pub(super) fn has_ended(&self, registry: &Registry, holder: &Holder) -> bool {
         self.ended.contains(&holder.life) || registry.has_ended(&holder.life, holder.address)
--- a/crates/hold/src/planner/contact.rs
+++ b/crates/hold/src/planner/contact.rs
@@ -6,6 +6,11 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// The time after the last answer to a grant before keys are taken back. A target may answer one order
+/// twice, so that each later answer on the connection is that of the order before; the last answer
+/// then comes within this time, unasked, and ends the connection.
+const SETTLED: Duration = Duration::from_millis(150);
+
 /// The time for which a target is left alone after an order to it failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
 
@@ -31,6 +36,8 @@
     /// Grants that may still be obeyed.
     pub(super) lost: Vec<Lost>,
     pub(super) failures: u32,
+    /// When grants were last answered.
+    pub(super) answered: Tick,
     /// When an order last failed.
     pub(super) failed: Tick,
 }
@@ -51,6 +58,18 @@
         }
     }
 
+    /// Notes that an order failed, so that lower fences than the highest are of no use any more.
+    pub(super) fn fail(&mut self, now: Tick) {
+        self.failures += 1;
+        self.failed = now;
+        self.barrier = self.highest;
+    }
+
+    /// Tells whether no answer to a grant can be outstanding.
+    pub(super) fn is_settled(&self, now: Tick) -> bool {
+        !self.busy && now.since(self.answered) >= SETTLED
+    }
+
     /// Tells whether an order may be sent now.
     pub(super) fn may_order(&self, now: Tick) -> bool {
         !self.busy && (self.failures == 0 || now.since(self.failed) >= FAILURE_PAUSE)
--- a/crates/hold/src/planner/moves.rs
+++ b/crates/hold/src/planner/moves.rs
@@ -76,7 +76,10 @@
     /// be obeyed after it.
     pub(super) fn can_release(&self, life: &Life, now: Tick) -> bool {
         self.has_answered(life)
-            && self.contacts.get(life).is_some_and(|contact| !contact.may_obey(now))
+            && self
+                .contacts
+                .get(life)
+                .is_some_and(|contact| contact.is_settled(now) && !contact.may_obey(now))
     }
 
     /// Tells whether a target has answered to all its present fences.
--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -120,10 +120,9 @@
         }
         let contact = self.contacts.entry(life.clone()).or_default();
         contact.busy = false;
+        contact.answered = now;
         if failed {
-            contact.failures += 1;
-            contact.failed = now;
-            contact.barrier = contact.highest;
+            contact.fail(now);
         } else {
             contact.failures = 0;
         }
