Take keys back only under a fence that the target has seen for each of them

A holding counted as answered when any part of it was; after neighbours were joined under a new fence and only a part was granted under it, a release bore a fence that the target had not seen for the other keys. Change: every key of a target must be covered by an answer to its present fence. Test: hold::planner::nothing_is_taken_back_under_a_fence_that_the_target_has_not_seen_for_every_key.

--- a/crates/hold/src/planner/contact.rs
+++ b/crates/hold/src/planner/contact.rs
@@ -82,8 +82,10 @@
 
     /// Tells whether the target has answered to a fence for every key of a span.
     pub(super) fn covers(&self, span: Span, fence: Fence) -> bool {
-        self.fences.iter().any(|(known, seen)| {
-            known.first <= span.first && span.last <= known.last && *seen == fence
-        })
+        let answered = self.fences.iter().filter(|(_, seen)| **seen == fence);
+        let rest = answered.fold(vec![span], |parts, (known, _)| {
+            parts.into_iter().flat_map(|part| part.without(*known)).flatten().collect()
+        });
+        rest.is_empty()
     }
 }
--- a/crates/hold/src/planner/moves.rs
+++ b/crates/hold/src/planner/moves.rs
@@ -7,7 +7,7 @@
         list::Registry,
         map::{Life, Span},
     },
-    key::{Fence, clock::Tick},
+    key::clock::Tick,
     smol_str::SmolStr,
 };
 
@@ -82,16 +82,14 @@
                 .is_some_and(|contact| contact.is_settled(now) && !contact.may_obey(now))
     }
 
-    /// Tells whether a target has answered to all its present fences.
+    /// Tells whether a target has answered to its present fence for each of its keys. A release under
+    /// a fence that it has not seen for a key may leave that key with it.
     pub(super) fn has_answered(&self, life: &Life) -> bool {
         let Some(contact) = self.contacts.get(life).filter(|contact| !contact.busy) else {
             return false;
         };
-        let answered = |span: Span, fence: Fence| {
-            contact.fences.iter().any(|(known, seen)| known.overlaps(span) && *seen >= fence)
-        };
         contact.failures == 0
-            && self.map.held_by(life).all(|holding| answered(holding.span, holding.fence))
+            && self.map.held_by(life).all(|holding| contact.covers(holding.span, holding.fence))
     }
 
     fn rebalance(&mut self, registry: &Registry, now: Tick) -> Vec<Move> {
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -404,3 +404,35 @@
     }
     assert!(map.to_bytes().len() < ROW_LIMIT_BYTES, "{}", map.to_bytes().len());
 }
+
+#[test]
+fn nothing_is_taken_back_under_a_fence_that_the_target_has_not_seen_for_every_key() {
+    let mut bench = Bench::new(2);
+    let renewals = bench.step(1_000);
+    for action in &renewals {
+        if let Action::Grant { life: to, grants, .. } = action {
+            // All but the first grant are lost on their way to the first target.
+            let results: Vec<_> = grants
+                .iter()
+                .enumerate()
+                .map(|(at, grant)| {
+                    let lost = at > 0 && *to == life(1, 1);
+                    (grant.clone(), if lost { Outcome::Lost } else { Outcome::Granted })
+                })
+                .collect();
+            bench.planner.granted(to, &results, at(bench.now_ms));
+        }
+    }
+    // New fences are written, of which only the first is answered.
+    let writes = bench.step(1_000);
+    assert!(writes.iter().any(|action| matches!(action, Action::Write(_))), "{writes:?}");
+    bench.write();
+    for action in bench.step(SETTLE_MS) {
+        if let Action::Grant { life: to, grants, .. } = action {
+            let answered = if to == life(1, 1) { &grants[..1] } else { &grants[..] };
+            bench.answer(&to, answered, Outcome::Granted);
+        }
+    }
+    bench.list(listing(1, 1, State::Leaving));
+    assert_eq!(releases(&bench.step(SETTLE_MS)), 0);
+}
