Close leaving targets by the age of what the list shows, and check it before each send

The reserve of 1.15 s assumed a shorter pace, and a connection that opens slowly came on top of it. Ruled out: a lost list (the store was stable), forged entries, the leader's moves. Change: hold::Freshness finds how old a change can be from the store's clock in each answer (the pause since the last answer, if the question did not wait, and the time on the way). The registry counts leaving from there, so that the reserve only covers the last request's way (0.4 s). Each target bears its closing time, which is looked at right before each send rather than when the view is made. Also: the rows on entries are read at a pace, since each start of 89 entries wakes all 89; a new leader announces itself instead.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{control::input::Input, shared::Shared},
-    key::Version,
+    hold::fresh::{Freshness, Reading},
+    key::{Version, clock::Tick},
     platform::store::{Error, Rows, Store, Table},
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -21,6 +22,11 @@
 const PACED_ENTRIES: u32 = 20;
 const SLOWEST_LIST_PACE: Duration = Duration::from_millis(1_000);
 
+/// The pause after a change of the rows on entries: at a start every entry writes one. A change of
+/// the leader is told by the new one.
+const OWN_PACE: Duration = Duration::from_millis(200);
+const SLOWEST_OWN_PACE: Duration = Duration::from_millis(2_000);
+
 /// Counts the outages of the store that have ended. A question that was waiting during one may never
 /// be answered, so each change asks all of them anew.
 pub(crate) type Outages = watch::Receiver<u64>;
@@ -67,7 +73,12 @@
 }
 
 /// Follows the rows on entries, for ever.
-pub(crate) async fn follow_own(store: Store, inputs: Sender<Input>, mut outages: Outages) {
+pub(crate) async fn follow_own(
+    store: Store,
+    inputs: Sender<Input>,
+    mut outages: Outages,
+    shared: Arc<Shared>,
+) {
     loop {
         let Ok(rows) = store.read(Table::Own).await else {
             time::sleep(PAUSE).await;
@@ -79,7 +90,11 @@
             match changes(&store, Table::Own, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
+                    let changed = !rows.rows.is_empty();
                     send(&inputs, Input::Own { rows: rows.rows, whole: false }).await;
+                    if changed {
+                        time::sleep(pace(&shared, OWN_PACE, SLOWEST_OWN_PACE)).await;
+                    }
                 }
                 Err(Error::Forgotten) => break,
                 Err(Error::Unavailable) => time::sleep(PAUSE).await,
@@ -96,6 +111,7 @@
     shared: Arc<Shared>,
 ) {
     let mut silent = false;
+    let mut freshness = Freshness::default();
     let mut answered = |answer: bool| {
         if answer && silent {
             ended.send_modify(|outages| *outages += 1);
@@ -103,6 +119,7 @@
         silent = !answer;
     };
     loop {
+        let asked = Tick::now();
         let Ok(rows) = store.read(Table::Targets).await else {
             answered(false);
             send(&inputs, Input::TargetsSilent).await;
@@ -111,18 +128,20 @@
         };
         answered(true);
         let mut version = rows.version;
-        send(&inputs, Input::Targets { rows: rows.rows, whole: true }).await;
+        let behind = freshness.note(Reading { asked, answered: Tick::now(), clock: rows.clock });
+        send(&inputs, Input::Targets { rows: rows.rows, whole: true, behind }).await;
         loop {
+            let asked = Tick::now();
             match store.watch(Table::Targets, version).await {
                 Ok(rows) => {
                     answered(true);
                     version = rows.version;
                     let changed = !rows.rows.is_empty();
-                    send(&inputs, Input::Targets { rows: rows.rows, whole: false }).await;
+                    let answered = Tick::now();
+                    let behind = freshness.note(Reading { asked, answered, clock: rows.clock });
+                    send(&inputs, Input::Targets { rows: rows.rows, whole: false, behind }).await;
                     if changed {
-                        let entries = shared.view.load().entries as u32;
-                        let pace = LIST_PACE * entries / PACED_ENTRIES;
-                        time::sleep(pace.clamp(LIST_PACE, SLOWEST_LIST_PACE)).await;
+                        time::sleep(pace(&shared, LIST_PACE, SLOWEST_LIST_PACE)).await;
                     }
                 }
                 Err(Error::Forgotten) => break,
@@ -138,6 +157,12 @@
     }
 }
 
+/// Returns the pause after a change, which grows with the number of entries that read.
+fn pace(shared: &Shared, least: Duration, most: Duration) -> Duration {
+    let entries = shared.view.load().entries as u32;
+    (least * entries / PACED_ENTRIES).clamp(least, most)
+}
+
 /// Sends a message; the receiver lives as long as the process.
 pub(crate) async fn send(inputs: &Sender<Input>, input: Input) {
     if inputs.send(input).await.is_err() {
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -9,12 +9,13 @@
         Life, Span,
         planner::{Grant, Outcome},
     },
-    key::{Service, Vm, clock::Tick},
+    key::{Service, Version, Vm, clock::Tick},
     platform::{
         order::Link,
         store::{Commit, Row},
     },
     smol_str::SmolStr,
+    std::time::Duration,
     tokio::sync::oneshot,
 };
 
@@ -25,8 +26,9 @@
     Tick,
     /// Rows of the operators have changed.
     Operator(Vec<Row>),
-    /// Entries of the list of targets have changed, or the whole list was read.
-    Targets { rows: Vec<Row>, whole: bool },
+    /// Entries of the list of targets have changed, at the earliest so long ago, or the whole list
+    /// was read.
+    Targets { rows: Vec<Row>, whole: bool, behind: Duration },
     /// The list of targets could not be read.
     TargetsSilent,
     /// The rows on entries have changed, or all of them were read.
@@ -46,6 +48,8 @@
     Granted { service: Service, life: Life, results: Vec<(Grant, Outcome)>, link: Option<Link> },
     /// Keys were taken back, or not.
     Released { service: Service, life: Life, span: Span, result: Result<Option<SmolStr>, Outcome> },
+    /// A process has come to lead, with the version of the row that says so.
+    Announced { lead: Lead, version: Version },
     /// A peer reports to the leader.
     Report { report: Report, answer: oneshot::Sender<Reply> },
     /// A peer asks whether this process hears the leader.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -64,7 +64,12 @@
         feed.1.clone(),
         outages.clone(),
     ));
-    tokio::task::spawn_local(feeds::follow_own(feed.0, feed.1.clone(), outages));
+    tokio::task::spawn_local(feeds::follow_own(
+        feed.0,
+        feed.1.clone(),
+        outages,
+        Arc::clone(&seat.shared),
+    ));
     tokio::task::spawn_local(feeds::follow_targets(list, feed.1, ended, Arc::clone(&seat.shared)));
     let mut state = State::new(seat.me, seat.shared, store, sender);
     state.join();
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -5,7 +5,7 @@
 //! docs/PLATFORM.md.
 
 use {
-    crate::control::{feeds::send, input::Input},
+    crate::control::{feeds::send, input::Input, lead::Lead},
     conf::routing::Routing,
     futures::future::join_all,
     hold::{Life, Listing, Map, map::Change},
@@ -27,6 +27,7 @@
 const BODY_LIMIT_BYTES: usize = 1 << 20;
 const REPORT_PATH: &str = "/report";
 const CHANGE_PATH: &str = "/change";
+const LEAD_PATH: &str = "/lead";
 const HELLO_PATH: &str = "/hello";
 
 /// The requests for one key.
@@ -94,6 +95,16 @@
 pub(crate) struct Listed {
     pub(crate) listing: Listing,
     pub(crate) version: Version,
+    /// For how long the target has been leaving, at most, in milliseconds; zero if it is not.
+    pub(crate) left_ms: u64,
+}
+
+/// That a process has come to lead.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Announcement {
+    pub(crate) lead: Lead,
+    /// The version of the row that says so.
+    pub(crate) version: Version,
 }
 
 /// What the leader answers.
@@ -140,6 +151,13 @@
             send(&inputs, Input::Pushed(change)).await;
             wire::json(StatusCode::OK, &())
         }
+        LEAD_PATH if request.method() == Method::POST => {
+            let Ok(new) = wire::read_json::<Announcement>(request, BODY_LIMIT_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            send(&inputs, Input::Announced { lead: new.lead, version: new.version }).await;
+            wire::json(StatusCode::OK, &())
+        }
         HELLO_PATH => {
             let (answer, reply) = oneshot::channel();
             send(&inputs, Input::Hello { answer }).await;
@@ -174,8 +192,16 @@
 
     /// Sends a change to entries. One that cannot be reached gets the map with its next report.
     pub(crate) async fn push(&self, members: Vec<SocketAddr>, change: &NewChange) {
-        let send =
-            |to| async move { self.client.post::<_, ()>(to, CHANGE_PATH, change).await.is_ok() };
+        self.tell(members, CHANGE_PATH, change).await;
+    }
+
+    /// Tells entries who leads.
+    pub(crate) async fn announce(&self, members: Vec<SocketAddr>, lead: &Announcement) {
+        self.tell(members, LEAD_PATH, lead).await;
+    }
+
+    async fn tell<T: Serialize + Sync>(&self, members: Vec<SocketAddr>, path: &str, news: &T) {
+        let send = |to| async move { self.client.post::<_, ()>(to, path, news).await.is_ok() };
         join_all(members.into_iter().map(send)).await;
     }
 
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -43,9 +43,6 @@
 /// The time for which strikes are passed on.
 const STRIKE_MEMORY: Duration = Duration::from_secs(3);
 
-/// The silence after which the leader counts as not heard when another entry asks.
-const HEARD: Duration = Duration::from_millis(700);
-
 /// What is logged when a belief changes.
 #[derive(Serialize)]
 struct Believed<'a> {
@@ -152,7 +149,10 @@
         match input {
             Input::Tick => self.tick(now),
             Input::Operator(rows) => self.take_operator(&rows),
-            Input::Targets { rows, whole } => self.take_targets(rows, whole, now),
+            Input::Targets { rows, whole, behind } => {
+                self.registry.note_reading(true, now);
+                self.take_targets(rows, whole, now.before(behind), now);
+            }
             Input::TargetsSilent => self.registry.note_reading(false, now),
             Input::Own { rows, whole } => self.take_own(&rows, whole, now),
             Input::Maps { rows, own } => self.take_maps(&rows, own, now),
@@ -168,6 +168,7 @@
             Input::Released { service, life, span, result } => {
                 self.take_released(&service, &life, span, result, now);
             }
+            Input::Announced { lead, version } => self.take_lead(lead, version, now),
             Input::Report { report, answer } => {
                 let reply = self.take_report(&report, now);
                 // A peer that gave up waiting reports again.
@@ -177,7 +178,7 @@
             }
             Input::Hello { answer } => {
                 let hears_leader = self.leading.is_some()
-                    || (self.lead.is_some() && self.election.silence(now) < HEARD);
+                    || (self.lead.is_some() && !self.election.is_unheard(now));
                 if answer.send(Hello { hears_leader }).is_err() {
                     self.shared.counters.count("replies", "too late");
                 }
@@ -201,7 +202,7 @@
             self.follow(now);
         }
         self.report(now);
-        self.dirty |= self.has_leaving(now) || self.registry.is_settling(SETTLING, now);
+        self.dirty |= self.registry.is_settling(SETTLING, now);
     }
 
     fn note_store(&mut self, now: Tick) {
@@ -244,17 +245,17 @@
         self.dirty = true;
     }
 
-    fn take_targets(&mut self, rows: Vec<Row>, whole: bool, now: Tick) {
-        self.registry.note_reading(true, now);
+    /// Takes entries of the list that may have changed as early as `at`.
+    fn take_targets(&mut self, rows: Vec<Row>, whole: bool, at: Tick, now: Tick) {
         let known = self.registry.len();
         if whole {
             let listed = |vm: &Vm| rows.iter().any(|row| row.key == vm.as_str());
-            self.dirty |= self.registry.retain(listed, now);
+            self.dirty |= self.registry.retain(listed, at);
         }
         for row in rows {
             let vm = Vm::from(row.key.as_str());
             let Some(value) = &row.value else {
-                if self.registry.remove(&vm, now) {
+                if self.registry.remove(&vm, at) {
                     self.believe_target(&vm, row.version, "gone from the list");
                     self.dirty = true;
                 }
@@ -266,7 +267,7 @@
                 }
                 Ok(listing) => {
                     let state = format!("{:?}", listing.state);
-                    if self.registry.list(listing, row.version, now) {
+                    if self.registry.list(listing, row.version, at) {
                         self.believe_target(&vm, row.version, &state);
                         self.dirty = true;
                     }
@@ -296,7 +297,10 @@
         for row in rows {
             let Some(value) = &row.value else { continue };
             match Subject::of(&row.key) {
-                Subject::Lead => self.take_lead(value, row.version, now),
+                Subject::Lead => match serde_json::from_slice(value) {
+                    Ok(lead) => self.take_lead(lead, row.version, now),
+                    Err(error) => self.believe(LEAD_KEY, row.version, &error.to_string()),
+                },
                 Subject::Member(vm) => match serde_json::from_slice(value) {
                     Ok(member) => {
                         self.members.insert(Vm::from(vm), member);
@@ -334,17 +338,10 @@
         }
     }
 
-    fn take_lead(&mut self, value: &[u8], version: Version, now: Tick) {
+    fn take_lead(&mut self, lead: Lead, version: Version, now: Tick) {
         if version <= self.lead_version {
             return;
         }
-        let lead: Lead = match serde_json::from_slice(value) {
-            Ok(lead) => lead,
-            Err(error) => {
-                self.believe(LEAD_KEY, version, &error.to_string());
-                return;
-            }
-        };
         self.believe(LEAD_KEY, version, lead.vm.as_str());
         if !lead.is(&self.me) && self.leading.take().is_some() {
             self.believe(LEAD_KEY, version, "no longer this process");
@@ -411,6 +408,7 @@
             self.lead_version = version;
             if self.leading.is_none() {
                 self.begin_to_lead(now);
+                self.announce_lead();
             }
         }
     }
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -31,10 +31,8 @@
 /// The entries beyond which each reports more rarely, so that the leader's work stays the same.
 const PACED_ENTRIES: f64 = 20.0;
 
-/// The silence of the leader after which the rows on holders of keys are read from the store.
-const UNHEARD: Duration = Duration::from_millis(700);
-
-/// The time between two such readings.
+/// The time between two readings of the rows on holders of keys, which are read while the leader is
+/// not heard.
 const READ_MAPS_EVERY: Duration = Duration::from_millis(800);
 
 /// The wait of the weakest entry before it tries to lead at the first start.
@@ -64,7 +62,7 @@
 
 impl State {
     pub(super) fn follow(&mut self, now: Tick) {
-        let unheard = self.election.silence(now) >= UNHEARD || self.lead.is_none();
+        let unheard = self.election.is_unheard(now) || self.lead.is_none();
         if unheard && now.since(self.maps_read) >= READ_MAPS_EVERY {
             self.read_maps(now);
         }
@@ -213,7 +211,8 @@
             let listed = |vm: &Vm| targets.iter().any(|listed| listed.listing.vm == *vm);
             self.dirty |= self.registry.retain(listed, now);
             for listed in targets {
-                self.dirty |= self.registry.list(listed.listing, listed.version, now);
+                let at = now.before(Duration::from_millis(listed.left_ms));
+                self.dirty |= self.registry.list(listed.listing, listed.version, at);
             }
         }
     }
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -7,7 +7,7 @@
         input::Input,
         lead::LEAD_KEY,
         orders::{self, Way},
-        peers::{Listed, NewChange, NewMap, Reply, Report},
+        peers::{Announcement, Listed, NewChange, NewMap, Reply, Report},
     },
     hold::{
         Action, Life, Links, Map, Planner, Span, links,
@@ -107,6 +107,19 @@
         self.read_own(now);
     }
 
+    /// Tells all other entries that this process leads; those that cannot be reached read it.
+    pub(super) fn announce_lead(&self) {
+        let Some(lead) = self.lead.clone() else { return };
+        let announcement = Announcement { lead, version: self.lead_version };
+        let (peers, others) = (self.peers.clone(), self.others());
+        tokio::task::spawn_local(async move { peers.announce(others, &announcement).await });
+    }
+
+    fn others(&self) -> Vec<SocketAddr> {
+        let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
+        others.map(|(_, member)| member.address).collect()
+    }
+
     /// Notes that a whole reading of the rows, asked for at `asked`, still names this process.
     pub(super) fn confirm_lead(&mut self, asked: Tick) {
         let Some(leading) = &mut self.leading else { return };
@@ -335,9 +348,7 @@
 
     /// Sends a change to all other entries, which would otherwise learn of it with their next report.
     fn push(&self, change: NewChange) {
-        let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
-        let others = others.map(|(_, member)| member.address).collect();
-        let peers = self.peers.clone();
+        let (peers, others) = (self.peers.clone(), self.others());
         tokio::task::spawn_local(async move { peers.push(others, &change).await });
     }
 
@@ -421,7 +432,11 @@
         let targets = (report.wants_targets && !resigning).then(|| {
             let listed = self.registry.all().filter(|known| known.is_listed());
             listed
-                .map(|known| Listed { listing: known.listing.clone(), version: known.version })
+                .map(|known| Listed {
+                    listing: known.listing.clone(),
+                    version: known.version,
+                    left_ms: self.registry.left_for(known, now).as_millis() as u64,
+                })
                 .collect()
         });
         Reply {
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -7,17 +7,17 @@
         view::{Holders, View},
     },
     hold::{
-        Listing, Map,
-        list::{Known, Presence, State as Listed},
+        Listing,
+        list::{Presence, State as Listed},
         map::Holder,
     },
     key::{Service, clock::Tick},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
-/// The part of the bound for leaving targets that is kept back: the list is read with some delay,
-/// and a request takes a moment to arrive.
-const LEAVING_RESERVE: Duration = Duration::from_millis(1_150);
+/// The part of the bound for leaving targets that is kept back for what arrives late: the store's
+/// answer here and the last request at the target.
+const LEAVING_RESERVE: Duration = Duration::from_millis(400);
 
 /// The slots of a target of which only the map tells.
 const UNKNOWN_SLOTS: u32 = 2;
@@ -44,12 +44,14 @@
                     return (!self.registry.is_complete(now)).then(|| unlisted(&service, holder));
                 };
                 let same = known.listing.life() == holder.life;
-                (same && self.may_serve(known, now)).then(|| known.listing.clone())
+                same.then(|| known.listing.clone())
             };
             let listings: Vec<Option<Listing>> = map.holders.iter().map(usable).collect();
             let target = |listing: Option<Listing>| {
                 let listing = listing?;
-                Some(self.pool.get(&listing.life(), || Target::new(&listing)))
+                let target = self.pool.get(&listing.life(), || Target::new(&listing));
+                target.close_at(self.closes(&listing, now));
+                Some(target)
             };
             let targets = listings.into_iter().map(target).collect();
             view.holders.insert(service, Holders { map, targets });
@@ -65,29 +67,18 @@
         if self.own_read { self.entries.max(self.members.len()) } else { UNKNOWN_ENTRIES }
     }
 
-    /// Tells whether a holder of keys may still get requests: one that is leaving may for a moment,
+    /// Returns when a target may get no more requests: one that is leaving may get some for a moment,
     /// while its keys are moved.
-    fn may_serve(&self, known: &Known, now: Tick) -> bool {
+    fn closes(&self, listing: &Listing, now: Tick) -> Option<Tick> {
+        let known = self.registry.get(&listing.vm)?;
         match self.registry.presence(known, now) {
-            Presence::Ready => true,
+            Presence::Ready => None,
             Presence::Leaving(since) => {
                 let limit = self.shared.settings.leaving.get();
-                now.since(since) < limit.saturating_sub(LEAVING_RESERVE)
+                Some(since.plus(limit.saturating_sub(LEAVING_RESERVE)))
             }
         }
     }
-
-    /// Tells whether a holder of keys is leaving, so that the view changes with time.
-    pub(super) fn has_leaving(&self, now: Tick) -> bool {
-        let leaving = |map: &Arc<Map>| {
-            map.holders.iter().any(|holder| {
-                self.registry
-                    .get(&holder.life.vm)
-                    .is_some_and(|known| self.registry.presence(known, now) != Presence::Ready)
-            })
-        };
-        self.maps.values().any(leaving)
-    }
 }
 
 /// Returns what the map says of a target that this process has not seen listed yet.
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -91,7 +91,11 @@
         Ok(connection) => connection,
         Err(error) => return Attempt::Unsent(error),
     };
-    // Opening a connection may have taken any time, so the deadline is looked at again.
+    // Opening a connection may have taken any time, so both limits are looked at again.
+    if target.is_closed() {
+        connection.release();
+        return Attempt::Unsent(Error::Leaving);
+    }
     let remaining = call.remaining();
     if remaining.is_zero() {
         return Attempt::Unsent(Error::Unreachable);
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -5,7 +5,7 @@
     hold::{Life, Listing, Span},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
-    key::{Service, Version, Zone},
+    key::{Service, Version, Zone, clock::Tick},
     socket2::SockRef,
     std::{
         net::SocketAddr,
@@ -47,6 +47,9 @@
 /// The latency that a target is expected to have before it has answered, in microseconds.
 const FIRST_LATENCY_US: u64 = 120_000;
 
+/// The closing time of a target that is not leaving, in microseconds since boot.
+const NEVER_US: u64 = u64::MAX;
+
 /// The weight of a new latency is one part in this many.
 const LATENCY_PARTS: u64 = 8;
 
@@ -56,6 +59,9 @@
     /// The target refuses connections: no process listens there.
     #[error("the target refuses connections")]
     Refused,
+    /// The target is leaving and takes no more requests.
+    #[error("the target is leaving")]
+    Leaving,
     /// The target does not answer.
     #[error("the target cannot be reached")]
     Unreachable,
@@ -98,6 +104,8 @@
     passed_over_until: Mutex<Option<Instant>>,
     unreachable_until: Mutex<Option<Instant>>,
     ended: AtomicBool,
+    /// When the target takes no more requests, in microseconds since boot.
+    closes_us: AtomicU64,
     denied: Mutex<Vec<Denied>>,
 }
 
@@ -133,6 +141,7 @@
             passed_over_until: Mutex::default(),
             unreachable_until: Mutex::default(),
             ended: AtomicBool::new(false),
+            closes_us: AtomicU64::new(NEVER_US),
             denied: Mutex::default(),
         }
     }
@@ -260,9 +269,21 @@
         latency + latency * waiting / self.slots.max(1)
     }
 
-    /// Tells whether the target could not be reached a moment ago.
+    /// Sets when the target takes no more requests, if it is leaving.
+    pub(crate) fn close_at(&self, tick: Option<Tick>) {
+        self.closes_us.store(tick.map_or(NEVER_US, Tick::micros), Ordering::Relaxed);
+    }
+
+    /// Tells whether the target takes no more requests.
+    pub(crate) fn is_closed(&self) -> bool {
+        let closes = self.closes_us.load(Ordering::Relaxed);
+        closes != NEVER_US && Tick::now().micros() >= closes
+    }
+
+    /// Tells whether the target is closed or could not be reached a moment ago.
     pub(crate) fn is_unreachable(&self) -> bool {
         self.ended.load(Ordering::Relaxed)
+            || self.is_closed()
             || lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until)
     }
 
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod balance;
 pub mod election;
+pub mod fresh;
 pub mod ledger;
 pub mod links;
 pub mod list;
@@ -19,6 +20,7 @@
 
 pub use crate::{
     election::Election,
+    fresh::Freshness,
     ledger::Ledger,
     links::Links,
     list::{Listing, Registry},
--- a/crates/hold/src/list.rs
+++ b/crates/hold/src/list.rs
@@ -62,7 +62,7 @@
 pub enum Presence {
     /// It is listed as ready, or is missing after an outage that excuses it.
     Ready,
-    /// It says that it is leaving, or has vanished from the list; it was noticed then.
+    /// It says that it is leaving, or has vanished from the list, since then at the earliest.
     Leaving(Tick),
 }
 
@@ -73,8 +73,6 @@
     pub listing: Listing,
     /// The store's version of that entry.
     pub version: Version,
-    /// When that entry was read.
-    pub seen: Tick,
     left: Option<Tick>,
     missing: Option<Missing>,
 }
@@ -105,8 +103,9 @@
 }
 
 impl Registry {
-    /// Takes an entry, and tells whether anything but a sign of life is new.
-    pub fn list(&mut self, listing: Listing, version: Version, now: Tick) -> bool {
+    /// Takes an entry that may have changed at `at`, and tells whether anything but a sign of life is
+    /// new.
+    pub fn list(&mut self, listing: Listing, version: Version, at: Tick) -> bool {
         let before = self.targets.get(&listing.vm);
         // An entry that is read again is there, whatever a peer said meanwhile.
         let is_old = |known: &Known| {
@@ -122,8 +121,8 @@
                 || known.listing.address != listing.address
         });
         let since = before.and_then(|known| known.left);
-        let left = (listing.state == State::Leaving).then_some(since.unwrap_or(now));
-        let known = Known { version, seen: now, left, missing: None, listing };
+        let left = (listing.state == State::Leaving).then_some(since.unwrap_or(at));
+        let known = Known { version, left, missing: None, listing };
         self.targets.insert(known.listing.vm.clone(), known);
         is_new
     }
@@ -133,27 +132,28 @@
         self.targets.retain(|_, known| !foreign(&known.listing));
     }
 
-    /// Notes that an entry was removed, and tells whether that is new.
-    pub fn remove(&mut self, vm: &Vm, now: Tick) -> bool {
+    /// Notes that an entry was removed, perhaps as early as `at`, and tells whether that is new.
+    pub fn remove(&mut self, vm: &Vm, at: Tick) -> bool {
         // While the store is silent here, a peer's knowledge of it may already be later than the end
         // of the outage.
-        let back = if self.silent_since.is_some() { Some(now) } else { self.back_since };
+        let back = if self.silent_since.is_some() { Some(at) } else { self.back_since };
         let excused_until = back.map_or(Tick::default(), |back| back.plus(RETURN));
         match self.targets.get_mut(vm) {
             Some(known) if known.missing.is_none() => {
-                known.missing = Some(Missing { since: now, excused_until });
+                known.missing = Some(Missing { since: at, excused_until });
                 true
             }
             _ => false,
         }
     }
 
-    /// Removes every target that a whole reading of the list does not show.
-    pub fn retain(&mut self, listed: impl Fn(&Vm) -> bool, now: Tick) -> bool {
+    /// Removes every target that a whole reading of the list does not show; they may have vanished
+    /// as early as `at`.
+    pub fn retain(&mut self, listed: impl Fn(&Vm) -> bool, at: Tick) -> bool {
         let gone: Vec<Vm> = self.targets.keys().filter(|vm| !listed(vm)).cloned().collect();
         let mut changed = false;
         for vm in &gone {
-            changed |= self.remove(vm, now);
+            changed |= self.remove(vm, at);
         }
         changed
     }
@@ -230,6 +230,15 @@
         known.left.or(missing).map_or(Presence::Ready, Presence::Leaving)
     }
 
+    /// Returns for how long a target has been leaving at most.
+    #[must_use]
+    pub fn left_for(&self, known: &Known, now: Tick) -> Duration {
+        match self.presence(known, now) {
+            Presence::Ready => Duration::ZERO,
+            Presence::Leaving(since) => now.since(since),
+        }
+    }
+
     /// Tells whether the presence of a target changes with time alone, or did within `span`.
     #[must_use]
     pub fn is_settling(&self, span: Duration, now: Tick) -> bool {
--- a/crates/key/src/clock.rs
+++ b/crates/key/src/clock.rs
@@ -61,6 +61,12 @@
         Self(self.0 + span.as_micros() as u64)
     }
 
+    /// Returns the point `span` before this one, or the boot of the machine if that is later.
+    #[must_use]
+    pub const fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+
     /// Returns the time from `earlier` to this point, or zero if `earlier` is later.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Duration {
--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -279,7 +279,7 @@
             time::sleep(SILENCE).await;
         }
         match committed {
-            Ok(version) => wire::json(StatusCode::OK, &json!({ "ver": version, "now": "1ms" })),
+            Ok(version) => wire::json(StatusCode::OK, &json!({ "ver": version, "now": now() })),
             Err(()) => wire::json(StatusCode::PRECONDITION_FAILED, &json!({ "rows": [] })),
         }
     }
@@ -301,7 +301,7 @@
         let truncated = rows.len() > limit.min(PAGE);
         rows.truncate(limit.min(PAGE));
         let body =
-            json!({ "rows": rows, "truncated": truncated, "ver": state.version, "now": "1ms" });
+            json!({ "rows": rows, "truncated": truncated, "ver": state.version, "now": now() });
         wire::json(StatusCode::OK, &body)
     }
 
@@ -322,7 +322,7 @@
                 let news = news.filter(|change| change.version > after && change.name.0 == table);
                 let rows: Vec<Value> = news.map(row).collect();
                 if !rows.is_empty() || time::Instant::now() >= until {
-                    let body = json!({ "rows": rows, "ver": state.version, "now": "1ms" });
+                    let body = json!({ "rows": rows, "ver": state.version, "now": now() });
                     return wire::json(StatusCode::OK, &body);
                 }
             }
@@ -347,3 +347,8 @@
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
     pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect()
 }
+
+/// Returns the steady clock as answers bear it.
+fn now() -> String {
+    format!("{}ms", Tick::now().millis())
+}
