Let entries that report rarely count as hearing the leader

At 89 entries a report goes out every 1.1 s, but after 0.7 s without an answer an entry read the maps from the store, so each did between any two reports; another entry's poll was answered falsely for the same reason. Change: the silence that counts grows with the time between reports. Test: hold election (fails without the change).

--- a/crates/hold/src/election.rs
+++ b/crates/hold/src/election.rs
@@ -12,6 +12,11 @@
 /// The reports without an answer after which others ask around.
 const SILENT_REPORTS: f64 = 3.5;
 
+/// The shortest silence, and the reports without an answer, after which an entry no longer counts as
+/// hearing the leader.
+const UNHEARD: Duration = Duration::from_millis(700);
+const UNHEARD_REPORTS: f64 = 2.2;
+
 /// The silence after which an entry tries to lead although it reaches few others.
 const ALONE: Duration = Duration::from_secs(4);
 
@@ -56,18 +61,26 @@
     not_before: Tick,
     polled: bool,
     silence: Duration,
+    unheard: Duration,
 }
 
 impl Election {
     /// Returns what a fresh process knows.
     #[must_use]
     pub const fn new(now: Tick) -> Self {
-        Self { heard: now, not_before: now.plus(START), polled: false, silence: SILENCE }
+        Self {
+            heard: now,
+            not_before: now.plus(START),
+            polled: false,
+            silence: SILENCE,
+            unheard: UNHEARD,
+        }
     }
 
     /// Sets the time between two reports to the leader.
     pub fn set_pace(&mut self, pace: Duration) {
         self.silence = pace.mul_f64(SILENT_REPORTS).max(SILENCE);
+        self.unheard = pace.mul_f64(UNHEARD_REPORTS).max(UNHEARD);
     }
 
     /// Notes that the leader answered, or that a new one is named.
@@ -82,6 +95,12 @@
         now.since(self.heard)
     }
 
+    /// Tells whether the leader has been silent for longer than between two reports.
+    #[must_use]
+    pub fn is_unheard(&self, now: Tick) -> bool {
+        self.silence(now) >= self.unheard
+    }
+
     /// Notes the result of a poll: `silent` other entries answered that they do not hear the leader
     /// either, out of `entries` in all, and `heard` tells whether any does.
     pub fn polled(&mut self, silent: usize, heard: bool, entries: usize, now: Tick) {
--- a/crates/hold/tests/election.rs
+++ b/crates/hold/tests/election.rs
@@ -6,6 +6,7 @@
         election::{Leader, Verdict},
     },
     key::clock::Tick,
+    std::time::Duration,
 };
 
 fn at(ms: u64) -> Tick {
@@ -137,3 +138,15 @@
         assert_eq!(verdict, case.verdict, "{}", case.name);
     }
 }
+
+#[test]
+fn an_entry_that_reports_rarely_still_counts_as_hearing_the_leader() {
+    let start = Tick::from(1_000_000);
+    let mut election = Election::new(start);
+    election.hear(start);
+    assert!(!election.is_unheard(start.plus(Duration::from_millis(600))));
+    assert!(election.is_unheard(start.plus(Duration::from_millis(800))));
+    election.set_pace(Duration::from_millis(1_100));
+    assert!(!election.is_unheard(start.plus(Duration::from_millis(2_000))));
+    assert!(election.is_unheard(start.plus(Duration::from_millis(2_500))));
+}
