Take keys only from the target that has them, and renew what a busy receiver holds

One round of balancing could choose a chain: S from A to B, and at once a part of S from B to C, though B had nothing yet. B answered that release at once or late, having nothing to release, A's keys then went to B whole, and the part went to C while B held it. Change: a round moves only what a target has; a release goes only to the holder by the map, and frees nothing where that changed; renewals have their own time and are spread by target; targets that cannot give at the moment still take. Tried and dropped: new moves while others are out.

--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -36,13 +36,15 @@
     times: BTreeMap<Life, f64>,
 }
 
-/// A target that may take keys.
+/// A target that may take keys, or give some away.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     /// Its run.
     pub life: Life,
     /// The requests it works on at once.
     pub slots: u32,
+    /// Whether keys can be taken from it now.
+    pub gives: bool,
 }
 
 /// Keys that should go to another target.
@@ -142,52 +144,76 @@
     rates.sum::<f64>() * load.cost(candidate)
 }
 
-/// Chooses what to move so that the busiest targets get less to do, at most `limit` spans.
+/// A target while moves are chosen.
+struct Side<'a> {
+    candidate: &'a Candidate,
+    /// What it may give away.
+    spans: Vec<Span>,
+    /// The rate of all that it has and will get.
+    rate: f64,
+    cost: f64,
+    /// Whether it has nothing more that is worth a move.
+    settled: bool,
+}
+
+impl<'a> Side<'a> {
+    fn new(map: &Map, load: &Load, candidate: &'a Candidate) -> Self {
+        let held = map.held_by(&candidate.life).map(|holding| holding.span);
+        let spans: Vec<Span> = held.collect();
+        let rate = spans.iter().map(|span| load.rate(*span)).sum();
+        Self { candidate, spans, rate, cost: load.cost(candidate), settled: !candidate.gives }
+    }
+
+    fn utilisation(&self) -> f64 {
+        self.rate * self.cost
+    }
+}
+
+/// Chooses what to move so that the busiest targets get less to do, at most `limit` spans. Each is
+/// taken from the target that has it by the map: what a target is about to get is not given on.
 #[must_use]
 pub fn shifts(map: &Map, load: &Load, candidates: &[Candidate], limit: usize) -> Vec<Shift> {
-    let spans_of = |candidate: &Candidate| {
-        map.held_by(&candidate.life).map(|holding| holding.span).collect::<Vec<Span>>()
-    };
-    let mut held: Vec<Vec<Span>> = candidates.iter().map(spans_of).collect();
-    let mut settled = vec![false; candidates.len()];
+    let side = |candidate| Side::new(map, load, candidate);
+    let mut sides: Vec<Side<'_>> = candidates.iter().map(side).collect();
     let mut shifts = Vec::new();
     while shifts.len() < limit {
-        let utilisation: Vec<f64> = candidates
-            .iter()
-            .zip(&held)
-            .map(|(candidate, spans)| {
-                spans.iter().map(|span| load.rate(*span)).sum::<f64>() * load.cost(candidate)
-            })
-            .collect();
-        let order = |a: &usize, b: &usize| utilisation[*a].total_cmp(&utilisation[*b]);
-        let Some(busy) = (0..candidates.len()).filter(|at| !settled[*at]).max_by(order) else {
-            break;
-        };
-        let Some(idle) = (0..candidates.len()).min_by(order) else { break };
-        let gap = utilisation[busy] - utilisation[idle];
-        let joins = held[idle].is_empty();
-        if busy == idle || utilisation[busy] < BUSY || (gap < GAIN && !joins) {
+        let order =
+            |a: &usize, b: &usize| sides[*a].utilisation().total_cmp(&sides[*b].utilisation());
+        let giving = (0..sides.len()).filter(|at| !sides[*at].settled);
+        let Some(busy) = giving.max_by(order) else { break };
+        let Some(idle) = (0..sides.len()).min_by(order) else { break };
+        let gap = sides[busy].utilisation() - sides[idle].utilisation();
+        let joins = sides[idle].spans.is_empty() && sides[idle].rate <= 0.0;
+        if busy == idle || sides[busy].utilisation() < BUSY || (gap < GAIN && !joins) {
             break;
         }
-        let rate = gap / (load.cost(&candidates[busy]) + load.cost(&candidates[idle]));
-        let ends = held[busy].iter().enumerate().filter_map(|(at, span)| {
-            let (end, moved) = load.part_of(*span, rate)?;
-            Some((at, end, moved))
-        });
-        let best = ends.max_by(|a, b| a.2.total_cmp(&b.2));
-        let least = LEAST_GAIN / load.cost(&candidates[busy]);
-        let Some((at, span, _)) = best.filter(|(_, _, moved)| *moved >= least) else {
-            settled[busy] = true;
+        let rate = gap / (sides[busy].cost + sides[idle].cost);
+        let least = LEAST_GAIN / sides[busy].cost;
+        let Some((at, span)) = best_part(load, &sides[busy].spans, rate, least) else {
+            sides[busy].settled = true;
             continue;
         };
-        let whole = held[busy].swap_remove(at);
-        held[busy].extend(whole.without(span).into_iter().flatten());
-        held[idle].push(span);
+        let moved = load.rate(span);
+        let whole = sides[busy].spans.swap_remove(at);
+        sides[busy].spans.extend(whole.without(span).into_iter().flatten());
+        sides[busy].rate -= moved;
+        sides[idle].rate += moved;
         shifts.push(Shift {
             span,
-            from: candidates[busy].life.clone(),
-            to: candidates[idle].life.clone(),
+            from: sides[busy].candidate.life.clone(),
+            to: sides[idle].candidate.life.clone(),
         });
     }
     shifts
 }
+
+/// Returns the part of one of the spans whose rate comes nearest to `rate` from below, if that is
+/// `least` or more.
+fn best_part(load: &Load, spans: &[Span], rate: f64, least: f64) -> Option<(usize, Span)> {
+    let parts = spans.iter().enumerate().filter_map(|(at, span)| {
+        let (part, moved) = load.part_of(*span, rate)?;
+        Some((at, part, moved))
+    });
+    let best = parts.max_by(|a, b| a.2.total_cmp(&b.2));
+    best.filter(|(_, _, moved)| *moved >= least).map(|(at, part, _)| (at, part))
+}
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -143,6 +143,12 @@
     step: Step,
 }
 
+impl Move {
+    const fn new(span: Span, from: Life, to: Option<Life>) -> Self {
+        Self { span, from, to, step: Step::Releasing }
+    }
+}
+
 /// The decisions about one service.
 #[derive(Clone, Debug)]
 pub struct Planner {
--- a/crates/hold/src/planner/contact.rs
+++ b/crates/hold/src/planner/contact.rs
@@ -25,8 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Contact {
     pub(super) busy: bool,
-    /// When grants were last sent.
-    pub(super) sent: Option<Tick>,
+    /// When all grants were last sent together, or as if they had been.
+    pub(super) renewed: Option<Tick>,
     /// The highest fence that the target has answered to, for each span.
     pub(super) fences: BTreeMap<Span, Fence>,
     /// The highest fence that was sent.
@@ -82,6 +82,9 @@
 
     /// Tells whether the target has answered to a fence for every key of a span.
     pub(super) fn covers(&self, span: Span, fence: Fence) -> bool {
+        if self.fences.get(&span) == Some(&fence) {
+            return true;
+        }
         let answered = self.fences.iter().filter(|(_, seen)| **seen == fence);
         let rest = answered.fold(vec![span], |parts, (known, _)| {
             parts.into_iter().flat_map(|part| part.without(*known)).flatten().collect()
--- a/crates/hold/src/planner/moves.rs
+++ b/crates/hold/src/planner/moves.rs
@@ -4,11 +4,12 @@
     super::{Action, Move, Outcome, Planner, Step, is_leaving},
     crate::{
         balance::{self, Candidate},
-        list::Registry,
+        list::{Known, Registry},
         map::{Life, Span},
     },
-    key::clock::Tick,
+    key::{Fence, clock::Tick},
     smol_str::SmolStr,
+    std::net::SocketAddr,
 };
 
 /// The most moves at a time, for a small service.
@@ -28,22 +29,27 @@
         }
         let mut actions = Vec::new();
         for moving in wanted {
-            let Some(holder) = self.map.holders.iter().find(|holder| holder.life == moving.from)
-            else {
-                continue;
-            };
-            let Some(holding) = self.map.holding(moving.span.first) else { continue };
+            let Some((address, fence)) = self.present(&moving) else { continue };
             actions.push(Action::Release {
                 life: moving.from.clone(),
-                address: holder.address,
+                address,
                 span: moving.span,
-                fence: holding.fence,
+                fence,
             });
             self.moves.push(moving);
         }
         actions
     }
 
+    /// Returns where the target of a move listens and under which fence it has all the keys, if it
+    /// has them.
+    fn present(&self, moving: &Move) -> Option<(SocketAddr, Fence)> {
+        let holding = self.map.holding(moving.span.first)?;
+        let holder = self.map.holder(holding)?;
+        let whole = moving.span.without(holding.span) == [None, None];
+        (whole && holder.life == moving.from).then_some((holder.address, holding.fence))
+    }
+
     /// Returns the moves away from targets that are leaving.
     fn departures(&self, registry: &Registry, now: Tick) -> Vec<Move> {
         let mut moves: Vec<Move> = Vec::new();
@@ -63,7 +69,7 @@
                 }
                 if !self.moves.iter().any(|moving| moving.span.overlaps(span)) {
                     let from = holder.life.clone();
-                    moves.push(Move { span, from, to: None, step: Step::Releasing });
+                    moves.push(Move::new(span, from, None));
                     under_way += 1;
                 }
             }
@@ -100,25 +106,21 @@
         let limit = MOVES.max(candidates.len() / TARGETS_A_MOVE);
         balance::shifts(&self.map, &self.load, &candidates, limit)
             .into_iter()
-            .map(|shift| Move {
-                span: shift.span,
-                from: shift.from,
-                to: Some(shift.to),
-                step: Step::Releasing,
-            })
+            .map(|shift| Move::new(shift.span, shift.from, Some(shift.to)))
             .collect()
     }
 
-    /// Returns the targets that may give keys away or take some.
+    /// Returns the targets that may give keys away or take some. One that has just started gets none
+    /// while it is slow.
     pub(super) fn candidates(&self, registry: &Registry, now: Tick) -> Vec<Candidate> {
-        self.ready(registry, now)
-            .filter(|known| {
-                let life = known.listing.life();
-                self.can_release(&life, now)
-                    || (self.map.held_by(&life).next().is_none() && known.listing.cold_ms == 0)
-            })
-            .map(|known| Candidate { life: known.listing.life(), slots: known.listing.slots })
-            .collect()
+        let candidate = |known: &Known| {
+            let life = known.listing.life();
+            let starts = known.listing.cold_ms > 0 && self.map.held_by(&life).next().is_none();
+            let usable = !starts && !self.is_silent(&life) && !self.ended.contains(&life);
+            let gives = self.can_release(&life, now);
+            usable.then_some(Candidate { life, slots: known.listing.slots, gives })
+        };
+        self.ready(registry, now).filter_map(candidate).collect()
     }
 
     /// Takes the result of a release.
@@ -128,6 +130,9 @@
         else {
             return;
         };
+        // A target that no longer has the keys by the map cannot free them.
+        let result =
+            if self.present(&self.moves[at]).is_some() { result } else { Err(Outcome::Lost) };
         match result {
             Ok(handover) => {
                 self.ledger.remove(life, span);
--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -7,6 +7,7 @@
         map::{Holder, Holding, Life, Span},
     },
     key::{Fence, clock::Tick},
+    std::time::Duration,
 };
 
 impl Planner {
@@ -22,16 +23,20 @@
             if self.has_ended(registry, &holder) || !self.may_order(&holder, now) {
                 continue;
             }
-            let grants = self.due_grants(&holder.life, &holdings, &given, now);
+            let due = self.is_due(&holder.life, now);
+            let grants = self.due_grants(&holder.life, &holdings, &given, due, now);
             if grants.is_empty() {
                 continue;
             }
+            let first = now.before(self.phase(&holder.life));
             for grant in &grants {
                 self.ledger.begin(&holder.life, grant.span);
             }
             let contact = self.contacts.entry(holder.life.clone()).or_default();
             contact.busy = true;
-            contact.sent = Some(now);
+            if due {
+                contact.renewed = Some(contact.renewed.map_or(first, |_| now));
+            }
             actions.push(Action::Grant { life: holder.life, address: holder.address, grants });
         }
         actions
@@ -42,16 +47,30 @@
         self.contacts.get(&holder.life).is_none_or(|contact| contact.may_order(now))
     }
 
+    /// Tells whether all grants of a target are to be renewed.
+    fn is_due(&self, life: &Life, now: Tick) -> bool {
+        let renewed = self.contacts.get(life).and_then(|contact| contact.renewed);
+        renewed.is_none_or(|renewed| now.since(renewed) >= self.config.renew)
+    }
+
+    /// Returns by how much sooner a target's first renewal comes than the others, so that the renewals
+    /// of many targets are spread over time.
+    fn phase(&self, life: &Life) -> Duration {
+        let rank = key::rank(life.vm.as_str(), self.service.as_str());
+        self.config.renew.mul_f64(rank as f64 / u64::MAX as f64)
+    }
+
+    /// Returns the grants to send to a target: all if they are due, or else those that it has not
+    /// answered to.
     fn due_grants(
         &self,
         life: &Life,
         holdings: &[Holding],
         given: &[(Span, Option<Life>)],
+        due: bool,
         now: Tick,
     ) -> Vec<Grant> {
         let contact = self.contacts.get(life);
-        let sent = contact.and_then(|contact| contact.sent);
-        let due = sent.is_none_or(|sent| now.since(sent) >= self.config.renew);
         let mut grants = Vec::new();
         let barrier = contact.map_or(Fence::ZERO, |contact| contact.barrier);
         for holding in holdings.iter().filter(|holding| holding.fence > barrier) {
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -95,20 +95,24 @@
             if quiet == 2 {
                 return;
             }
-            for action in actions {
-                match action {
-                    Action::Write(_) => self.write(),
-                    Action::Grant { life, grants, .. } => {
-                        let mute = self.mute.as_ref() == Some(&life);
-                        let outcome = if mute { Outcome::Unsent } else { Outcome::Granted };
-                        self.answer(&life, &grants, outcome);
-                    }
-                    Action::Release { life, span, .. } if self.mute.as_ref() == Some(&life) => {
-                        self.planner.released(&life, span, Err(Outcome::Unsent));
-                    }
-                    Action::Release { life, span, .. } => {
-                        self.planner.released(&life, span, Ok(Some(SmolStr::from("warm"))));
-                    }
+            self.carry_out(actions);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Write(_) => self.write(),
+                Action::Grant { life, grants, .. } => {
+                    let mute = self.mute.as_ref() == Some(&life);
+                    let outcome = if mute { Outcome::Unsent } else { Outcome::Granted };
+                    self.answer(&life, &grants, outcome);
+                }
+                Action::Release { life, span, .. } if self.mute.as_ref() == Some(&life) => {
+                    self.planner.released(&life, span, Err(Outcome::Unsent));
+                }
+                Action::Release { life, span, .. } => {
+                    self.planner.released(&life, span, Ok(Some(SmolStr::from("warm"))));
                 }
             }
         }
@@ -436,3 +440,76 @@
     bench.list(listing(1, 1, State::Leaving));
     assert_eq!(releases(&bench.step(SETTLE_MS)), 0);
 }
+
+#[test]
+fn what_a_target_holds_is_renewed_though_it_gets_new_keys_all_the_time() {
+    const TARGETS: u8 = 9;
+    const LONGEST_MS: u64 = 1_000 + 3 * SETTLE_MS;
+    let mut bench = Bench::new(TARGETS);
+    // Each target that leaves is less busy than those that stay, but the first.
+    for number in 2..=TARGETS {
+        let life = life(number, 1);
+        let spans: Vec<Span> =
+            bench.planner.map().held_by(&life).map(|holding| holding.span).collect();
+        for span in spans {
+            bench.planner.load().add(span.first, 1 << number);
+        }
+    }
+    let kept: Vec<Span> =
+        bench.planner.map().held_by(&life(1, 1)).map(|holding| holding.span).collect();
+    let mut renewed: Vec<u64> = vec![bench.now_ms; kept.len()];
+    for leaving in 2..TARGETS {
+        bench.list(listing(leaving, 1, State::Leaving));
+        for _ in 0..4 {
+            let actions = bench.step(SETTLE_MS);
+            for action in &actions {
+                let Action::Grant { life: to, grants, .. } = action else { continue };
+                for (at, span) in kept.iter().enumerate() {
+                    let covers = |grant: &Grant| span.without(grant.span) == [None, None];
+                    if *to == life(1, 1) && grants.iter().any(covers) {
+                        renewed[at] = bench.now_ms;
+                    }
+                }
+            }
+            bench.carry_out(actions);
+            let oldest = renewed.iter().min().copied().unwrap_or_default();
+            assert!(bench.now_ms - oldest <= LONGEST_MS, "at {}: {renewed:?}", bench.now_ms);
+        }
+    }
+}
+
+#[test]
+fn renewals_of_many_targets_are_spread_over_time() {
+    const TARGETS: u8 = 200;
+    const STEP_MS: u64 = 100;
+    let mut bench = Bench::new(TARGETS);
+    let mut most = 0;
+    for _ in 0..40 {
+        let actions = bench.step(STEP_MS);
+        most = most.max(grants(&actions));
+        bench.carry_out(actions);
+    }
+    // An even spread has a tenth of them in each step.
+    assert!(most <= usize::from(TARGETS) / 4, "{most} targets in one step");
+}
+
+#[test]
+fn keys_are_taken_back_only_from_the_target_that_has_them() {
+    let mut bench = Bench::new(4);
+    for round in 0..20_u16 {
+        for key in 0..60 {
+            bench.planner.load().add(round % 4 * 9_973 + key, 2);
+        }
+        let map = bench.planner.map().clone();
+        let actions = bench.step(SETTLE_MS);
+        for action in &actions {
+            let Action::Release { life, span, .. } = action else { continue };
+            let overlapping = map.holdings.iter().filter(|holding| holding.span.overlaps(*span));
+            for holding in overlapping {
+                let holder = map.holder(holding).map(|holder| &holder.life);
+                assert_eq!(holder, Some(life), "round {round}: {span:?}");
+            }
+        }
+        bench.carry_out(actions);
+    }
+}
