Wait until every target of a site listens before a test goes on

A site counted as started once requests were served, which needs one target a service, so that a target whose process started late did not listen yet. Reasoned from the record (the connection was refused, nothing was sent); not repeated on purpose. Ruled out: a port taken by another test (ports are drawn within one process, and the tests run one after another). Change: the start of a site waits until each target takes a connection. No check is changed.

--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -31,7 +31,7 @@
         },
         time::Duration,
     },
-    tokio::time,
+    tokio::{net::TcpStream, time},
 };
 
 const HOST: &str = "shop.example";
@@ -181,6 +181,7 @@
         for number in 0..sketch.keyed + sketch.plain {
             site.add_target(number, number < sketch.keyed, address).await;
         }
+        site.await_targets().await;
         for number in 0..sketch.entries {
             site.add_entry(number, sketch.hold_ms, address);
         }
@@ -193,6 +194,16 @@
         site
     }
 
+    /// Waits until every target listens: requests are served before the last one does.
+    async fn await_targets(&self) {
+        for target in &self.targets {
+            eventually("a target listens", || async {
+                TcpStream::connect(target.address).await.ok().map(|_| ())
+            })
+            .await;
+        }
+    }
+
     async fn add_target(&mut self, number: usize, keyed: bool, store: SocketAddr) {
         let vm = format!("t{number}");
         let listen_at = SocketAddr::from(([127, 0, 0, 1], free_port()));
