--- a/crates/standin/src/holder.rs
+++ b/crates/standin/src/holder.rs
@@ -76,6 +76,9 @@
     pub late_grants_ms: u64,
     /// The duration added to the work of each request, in milliseconds.
     pub slow_ms: u64,
+    /// The rate limit that each response to a request names, in requests per second over all
+    /// entries; zero names none. The target only names the limit and runs what arrives.
+    pub limit_per_s: u32,
 }
 
 /// A span of keys that the target holds under a grant.
@@ -196,7 +199,7 @@
             "/health" => self.empty_reply(StatusCode::OK),
             "/almondworks/grant" => self.handle_grant(request).await,
             "/almondworks/release" => self.handle_release(request).await,
-            _ => self.run_request(request).await,
+            _ => self.handle_caller_request(request).await,
         };
         Ok(reply)
     }
@@ -292,6 +295,19 @@
             .any(|held| held.first <= key && key <= held.last && held.expires_at > now)
     }
 
+    /// Runs or refuses a request of a caller, and names the rate limit in the reply.
+    async fn handle_caller_request(&self, request: Request<Incoming>) -> Reply {
+        let limit_per_s = self.state().fault.limit_per_s;
+        if limit_per_s == 0 {
+            return self.run_request(request).await;
+        }
+        let id = header(request.headers(), "attempt-id").map(str::to_owned);
+        self.journal.write(Tick::now(), Kind::Arrived { id });
+        let mut reply = self.run_request(request).await;
+        reply.headers_mut().insert("server-limit", limit_per_s.into());
+        reply
+    }
+
     async fn run_request(&self, request: Request<Incoming>) -> Reply {
         let headers = request.headers().clone();
         let id = header(&headers, "attempt-id").map(str::to_owned);
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -60,6 +60,11 @@
         /// The last key.
         last: u16,
     },
+    /// A request arrived at a target that names a rate limit.
+    Arrived {
+        /// The attempt id of the request, if it has one.
+        id: Option<String>,
+    },
     /// A target that serves keys under grants began to run a request.
     Began {
         /// The service.
