Keep the rate limit that a target names over all entries together

Cause: no entry read the header. The class is a bound that belongs to a target and is kept by many entries, each of which knows only its own requests; dividing it by the number of entries would keep it, and leave most of it unused where an entry has less than one request in its turn.

Why this works: the answer is decoded once in platform/, the newest word about a target wins in every entry, reports and replies to the leader spread it, also to entries that start. The leader names one coordinator for each limited target among the strong entries that report; the others ask it for a permit before each request, so permits go where requests are. A permit may be promised for when the request can still wait; else the request goes to another target, or is refused at once with the time at which the next permit is due. While no coordinator answers, an entry uses its even share, and the leader holds back the share of silent entries. Limited targets cost more in the planner, which moves their busy keys elsewhere; a target that is not heard gets a request now and then, since only an answer can end its limit.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -60,7 +60,7 @@
     let (sender, mut inputs) = mpsc::channel(INPUT_QUEUE_CAPACITY);
     let store = Store::new(context.shared.settings.store, STORE_CALL_TIMEOUT, STORE_POLL_DURATION);
     let listener = tokio::net::TcpListener::from_std(context.peer_listener)?;
-    tokio::task::spawn_local(peers::serve(listener, sender.clone()));
+    tokio::task::spawn_local(peers::serve(listener, sender.clone(), Arc::clone(&context.shared)));
     let (outage_count, outages) = watch::channel(0);
     let feed = (store.clone(), sender.clone());
     let registry_store =
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -5,16 +5,21 @@
 //! docs/PLATFORM.md.
 
 use {
-    crate::control::{feeds::send, input::Input, records::LeadershipRecord},
+    crate::{
+        control::{feeds::send, input::Input, records::LeadershipRecord},
+        permit,
+        shared::Shared,
+    },
     conf::routing::Routing,
     futures::future::join_all,
     hold::{Instance, Map, Registration, map::Delta},
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
-    key::{Service, Version, Vm},
+    key::{Incarnation, Service, Version, Vm, clock::Tick},
+    limit::{Rate, Word},
     route::quarantine::CrashReport,
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::{mpsc::Sender, oneshot},
@@ -54,6 +59,33 @@
     pub(crate) mean_ms: u64,
 }
 
+/// What a target said of its rate limit, and the entry that hands out its permits.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct LimitNotice {
+    pub(crate) target: Instance,
+    /// The limit; none if the target no longer names one.
+    pub(crate) rate: Option<Rate>,
+    /// How long ago the target said so.
+    pub(crate) age_ms: u64,
+    /// The peer address of the entry that hands out permits; known to the leader only.
+    pub(crate) coordinator: Option<SocketAddr>,
+}
+
+impl LimitNotice {
+    /// Returns what the target said, on this process's clock.
+    pub(crate) fn word(&self, now: Tick) -> Word {
+        Word { rate: self.rate, at: now.before(Duration::from_millis(self.age_ms)) }
+    }
+}
+
+/// The revision of a leader's board of limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LimitRevision {
+    /// The leader's incarnation; each leader counts its revisions anew.
+    pub(crate) leader: Incarnation,
+    pub(crate) revision: u64,
+}
+
 /// The version of one service's map.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct MapVersion {
@@ -78,6 +110,12 @@
     /// Instances of targets that are proved to have ended.
     #[serde(rename = "ended")]
     pub(crate) ended_instances: Vec<Instance>,
+    /// The limits that targets named in answers to this entry since its last report.
+    #[serde(default)]
+    pub(crate) limits: Vec<LimitNotice>,
+    /// The newest revision of limits that the entry knows.
+    #[serde(default)]
+    pub(crate) limit_revision: LimitRevision,
 }
 
 /// A map with its version.
@@ -131,6 +169,19 @@
     pub(crate) targets: Option<Vec<VersionedRegistration>>,
     #[serde(rename = "strikes")]
     pub(crate) crash_reports: Vec<CrashReport>,
+    /// The limits that have changed since the revision in the report.
+    #[serde(default)]
+    pub(crate) limits: Vec<LimitNotice>,
+    #[serde(default)]
+    pub(crate) limit_revision: LimitRevision,
+    /// The fraction of each limit that coordinators hand out.
+    #[serde(default = "whole")]
+    pub(crate) coordinated_fraction: f64,
+}
+
+/// The fraction that a leader of an earlier release, which sends none, leaves to coordinators.
+const fn whole() -> f64 {
+    1.0
 }
 
 /// The answer to a poll: what an entry knows of the leader.
@@ -142,13 +193,21 @@
 }
 
 /// Serves the calls of peers; never returns.
-pub(crate) async fn serve(listener: TcpListener, inputs: Sender<Input>) {
-    wire::serve(listener, move |request| handle_call(request, inputs.clone())).await;
+pub(crate) async fn serve(listener: TcpListener, inputs: Sender<Input>, shared: Arc<Shared>) {
+    let handle = move |request| handle_call(request, inputs.clone(), Arc::clone(&shared));
+    wire::serve(listener, handle).await;
 }
 
 /// Handles one call of a peer.
-async fn handle_call(request: Request<Incoming>, inputs: Sender<Input>) -> wire::Reply {
+async fn handle_call(
+    request: Request<Incoming>,
+    inputs: Sender<Input>,
+    shared: Arc<Shared>,
+) -> wire::Reply {
     match request.uri().path() {
+        permit::PATH if request.method() == Method::POST => {
+            permit::handle_call(&shared, request).await
+        }
         REPORT_PATH if request.method() == Method::POST => {
             let Ok(report) = wire::read_json::<Report>(request, MAX_BODY_BYTES).await else {
                 return wire::status(StatusCode::BAD_REQUEST);
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -6,6 +6,7 @@
 
 mod following;
 mod leading;
+mod limiting;
 mod publishing;
 
 use {
@@ -13,7 +14,7 @@
         control::{
             feeds::send,
             input::Input,
-            peers::{Hello, MapDelta, Peers},
+            peers::{Hello, LimitRevision, MapDelta, Peers},
             records::{LEADERSHIP_KEY, LeadershipRecord, Member, RowKind, member_key},
         },
         shared::Shared,
@@ -96,6 +97,8 @@
     map_read_in_flight: bool,
     maps_polled_at: Tick,
     crash_reports: VecDeque<RecentCrash>,
+    /// The newest revision of rate limits that the leader has told this entry.
+    limit_revision: LimitRevision,
     pool: TargetPool,
     /// Whether the published snapshot is outdated.
     dirty: bool,
@@ -134,6 +137,7 @@
             map_read_in_flight: false,
             maps_polled_at: Tick::default(),
             crash_reports: VecDeque::new(),
+            limit_revision: LimitRevision::default(),
             pool: TargetPool::default(),
             dirty: false,
         }
@@ -223,6 +227,7 @@
         } else {
             self.run_follower(now);
         }
+        self.expire_limits(now);
         self.send_report(now);
         self.dirty |= self.registry.has_grace_period_within(GRACE_PERIOD_TAIL, now);
     }
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -147,7 +147,9 @@
         let interval = MIN_REPORT_INTERVAL
             .mul_f64((self.entries_sharing_limits() as f64 / ENTRIES_AT_MIN_INTERVAL).max(1.0));
         self.election.set_report_interval(interval);
-        if self.report_in_flight || now.since(self.reported_at) < interval {
+        // A limit that is new binds the other entries as soon as the leader knows of it.
+        let is_due = now.since(self.reported_at) >= interval || self.shared.limits().has_news();
+        if self.report_in_flight || !is_due {
             return;
         }
         self.reported_at = now;
@@ -199,6 +201,8 @@
             latencies: latencies.collect(),
             crash_reports,
             ended_instances,
+            limits: self.heard_limits(now),
+            limit_revision: self.limit_revision,
         }
     }
 
@@ -214,6 +218,7 @@
         let Some(reply) = reply else { return };
         let is_leader = self.leadership_record.as_ref().is_some_and(|record| record.vm == *leader);
         if reply.leads && is_leader {
+            self.apply_limits(&reply, now);
             self.election.record_heartbeat(now);
             self.resigning = reply.resigning;
             if self.entry_count != reply.entries {
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -55,11 +55,11 @@
 
 /// The time without a report after which an entry no longer counts towards the entries that share
 /// limits.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The state that only the leader keeps.
 pub(super) struct Leadership {
-    started_at: Tick,
+    pub(super) started_at: Tick,
     /// When the last successful confirmation was sent; the leadership lease starts here.
     confirmed_at: Tick,
     /// When the confirmation in flight was sent.
@@ -67,11 +67,15 @@
     /// Whether all rows have been read since this process became the leader.
     has_read_rows: bool,
     summary_logged_at: Tick,
-    planners: BTreeMap<Service, Planner>,
+    pub(super) planners: BTreeMap<Service, Planner>,
     /// The connections over which targets get grants.
     connections: Connections<Connection>,
     /// When each other entry last reported.
-    last_report_at: HashMap<Vm, Tick>,
+    pub(super) last_report_at: HashMap<Vm, Tick>,
+    /// The rate limits of targets, as the other entries are told.
+    pub(super) limits: limit::Board,
+    /// The fraction of each limit that coordinators hand out.
+    pub(super) coordinated_fraction: f64,
 }
 
 /// The journal line about a grant or release.
@@ -118,6 +122,8 @@
             planners: BTreeMap::new(),
             connections: Connections::default(),
             last_report_at: HashMap::new(),
+            limits: limit::Board::default(),
+            coordinated_fraction: 1.0,
         });
         self.read_rows(now);
     }
@@ -182,8 +188,9 @@
         let needs_row = leadership.planners.values().any(Planner::needs_row);
         let confirmation_due = now.since(leadership.confirmed_at) >= CONFIRMATION_INTERVAL;
         let has_read_rows = leadership.has_read_rows;
-        leadership.last_report_at.retain(|_, reported_at| now.since(*reported_at) < ENTRY_TIMEOUT);
-        let entry_count = leadership.last_report_at.len() + 1;
+        let reported = leadership.last_report_at.values();
+        let entry_count =
+            reported.filter(|reported_at| now.since(**reported_at) < ENTRY_TIMEOUT).count() + 1;
         if entry_count != self.entry_count {
             self.entry_count = entry_count;
             self.dirty = true;
@@ -191,6 +198,7 @@
         if needs_row || confirmation_due || !has_read_rows {
             self.read_rows(now);
         }
+        self.update_limits(now);
         self.plan(now);
     }
 
@@ -471,6 +479,7 @@
     /// Records the report of another entry and returns what is newer here.
     pub(super) fn handle_report(&mut self, report: &Report, now: Tick) -> Reply {
         self.record_report(report, now);
+        self.record_heard_limits(report, now);
         let resigning = self.is_store_unavailable(now);
         let leads = self.leadership.is_some();
         if let Some(leadership) = &mut self.leadership {
@@ -498,6 +507,7 @@
                 })
                 .collect()
         });
+        let (limits, limit_revision) = self.limits_for(report.limit_revision, now);
         Reply {
             leads,
             resigning,
@@ -506,6 +516,12 @@
             maps: maps.collect(),
             targets,
             crash_reports: self.crash_reports.iter().map(|recent| recent.report).collect(),
+            limits,
+            limit_revision,
+            coordinated_fraction: self
+                .leadership
+                .as_ref()
+                .map_or(1.0, |leadership| leadership.coordinated_fraction),
         }
     }
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,15 +1,18 @@
 //! The state that the traffic and the control thread share.
 
 use {
-    crate::{metrics::Counters, snapshot::Snapshot},
+    crate::{metrics::Counters, permit, snapshot::Snapshot},
     arc_swap::ArcSwap,
     conf::PlatformSettings,
     hold::Instance,
     key::Service,
+    limit::{Change, Rate, Table},
     report::Journal,
     route::{Quarantine, budget::Window, quarantine::CrashReport},
+    serde::Serialize,
     std::{
         collections::HashMap,
+        net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
@@ -40,9 +43,12 @@
     pub(crate) stopping: AtomicBool,
     pub(crate) journal: Journal,
     pub(crate) counters: Counters,
+    /// The client with which the traffic thread asks other entries for permits.
+    pub(crate) permit_client: wire::Client,
     feedback: Mutex<Feedback>,
     quarantine: Mutex<Quarantine>,
     budgets: Mutex<HashMap<Service, Window>>,
+    limits: Mutex<Table>,
 }
 
 impl Shared {
@@ -54,9 +60,11 @@
             stopping: AtomicBool::new(false),
             journal,
             counters: Counters::default(),
+            permit_client: permit::new_client(),
             feedback: Mutex::default(),
             quarantine: Mutex::default(),
             budgets: Mutex::default(),
+            limits: Mutex::default(),
         })
     }
 
@@ -84,6 +92,44 @@
     pub(crate) fn budgets(&self) -> MutexGuard<'_, HashMap<Service, Window>> {
         lock(&self.budgets)
     }
+
+    /// Returns the rate limits that targets name.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, Table> {
+        lock(&self.limits)
+    }
+
+    /// Logs that the coordinator of a target did not answer a request for a permit.
+    pub(crate) fn log_permit_failure(
+        &self,
+        target: &Instance,
+        coordinator: SocketAddr,
+        error: &wire::Error,
+    ) {
+        #[derive(Serialize)]
+        struct PermitFailureLine<'a> {
+            target: &'a str,
+            coordinator: SocketAddr,
+            error: String,
+        }
+        let error = error.to_string();
+        let line = PermitFailureLine { target: target.vm.as_str(), coordinator, error };
+        self.journal.log("permit_failed", &line);
+    }
+
+    /// Logs a change of a target's rate limit and where it was learned.
+    pub(crate) fn log_limit(&self, target: &Instance, change: Change, source: &str) {
+        #[derive(Serialize)]
+        struct LimitLine<'a> {
+            target: &'a str,
+            from: Option<Rate>,
+            to: Option<Rate>,
+            source: &'a str,
+        }
+        let Change { from, to } = change;
+        let line = LimitLine { target: target.vm.as_str(), from, to, source };
+        self.journal.log("limit", &line);
+        self.counters.count("limit_changes", source);
+    }
 }
 
 /// Locks a mutex whose data stays valid even if a thread panicked while it held the lock.
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -1,9 +1,12 @@
 //! One attempt to get a response from one target.
 
 use {
-    crate::traffic::{
-        body::Body,
-        target::{ConnectError, Connection, Target},
+    crate::{
+        shared::Shared,
+        traffic::{
+            body::Body,
+            target::{ConnectError, Connection, Target},
+        },
     },
     bytes::{Bytes, BytesMut},
     http::{
@@ -11,6 +14,7 @@
     },
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
+    key::clock::Tick,
     platform::header::{self, Denial},
     std::{
         sync::{Arc, atomic::Ordering},
@@ -86,7 +90,7 @@
 }
 
 /// Makes one attempt: sends the request to a target and receives the response.
-pub(crate) async fn send(call: &Call, target: &Arc<Target>) -> AttemptResult {
+pub(crate) async fn send(shared: &Shared, call: &Call, target: &Arc<Target>) -> AttemptResult {
     let _in_flight = InFlightGuard::new(target);
     let mut connection = match target.connect(call.at_most_once).await {
         Ok(connection) => connection,
@@ -101,7 +105,7 @@
     if remaining.is_zero() {
         return AttemptResult::Unsent(ConnectError::Unreachable);
     }
-    let sent_at = Instant::now();
+    let sent_at = Tick::now();
     let request = outgoing_request(call, target, remaining);
     let result = time::timeout(remaining, connection.sender().try_send_request(request)).await;
     let response = match result {
@@ -115,21 +119,26 @@
         }
         Err(_) => return AttemptResult::Late,
     };
-    receive(call, connection, response, sent_at).await
+    receive(shared, call, connection, response, sent_at).await
 }
 
 /// Checks that a response belongs to the request, and reads its body or passes it on.
 async fn receive(
+    shared: &Shared,
     call: &Call,
     connection: Connection,
     response: Response<Incoming>,
-    sent_at: Instant,
+    sent_at: Tick,
 ) -> AttemptResult {
     let target = Arc::clone(&connection.target);
     if !header::is_response_to(&response, header::request_id(&call.parts.headers)) {
         return AttemptResult::Broken;
     }
-    if let Some(denial) = header::denial(&response, target.instance.vm.as_str()) {
+    let denial = header::denial(&response, target.instance.vm.as_str());
+    if denial != Some(Denial::WrongTarget) {
+        record_limit(shared, &target, response.headers(), sent_at);
+    }
+    if let Some(denial) = denial {
         drain_body(response.into_body(), connection).await;
         return AttemptResult::Denied(denial);
     }
@@ -137,7 +146,7 @@
         return AttemptResult::Broken;
     }
     if response.status().is_success() {
-        target.record_latency(sent_at.elapsed());
+        target.record_latency(Tick::now().since(sent_at));
     }
     let (mut parts, incoming) = response.into_parts();
     remove_hop_by_hop(&mut parts.headers);
@@ -155,6 +164,15 @@
     }
 }
 
+/// Records the rate limit that an answer names, or that it names none.
+fn record_limit(shared: &Shared, target: &Target, headers: &HeaderMap, sent_at: Tick) {
+    let rate = header::rate_limit(headers);
+    let change = shared.limits().record_answer(&target.instance, rate, sent_at, Tick::now());
+    if let Some(change) = change {
+        shared.log_limit(&target.instance, change, "answer");
+    }
+}
+
 async fn read_body(mut incoming: Incoming) -> Result<Bytes, hyper::Error> {
     let mut buffer = BytesMut::with_capacity(incoming.size_hint().lower() as usize);
     while let Some(frame) = incoming.frame().await {
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -6,7 +6,7 @@
 use {
     crate::{shared::Shared, snapshot::Snapshot, traffic::target::Target},
     conf::routing::{Route, WeightedService},
-    key::{Service, Zone},
+    key::{Service, Zone, clock::Tick},
     std::sync::Arc,
 };
 
@@ -30,7 +30,9 @@
 }
 
 /// Returns the target with the lowest expected cost among a few drawn at random. Targets in `tried`
-/// and those in a back-off are drawn only if there are no others, unreachable ones only if all are.
+/// and those in a back-off are drawn only if there are no others, unreachable ones only if all are. A
+/// target with a rate limit that has not been heard for a while goes first, since only an answer
+/// shows that its limit is over.
 pub(crate) fn choose_unkeyed(
     shared: &Shared,
     snapshot: &Snapshot,
@@ -38,10 +40,21 @@
     tried: &[Arc<Target>],
 ) -> Option<Arc<Target>> {
     let ready = snapshot.ready.get(service)?;
+    let (now, entries) = (Tick::now(), snapshot.entries);
+    let limits = shared.limits();
     let is_untried =
         |target: &&Arc<Target>| !tried.iter().any(|previous| Arc::ptr_eq(previous, target));
-    let mut candidates: Vec<&Arc<Target>> =
-        ready.iter().filter(is_untried).filter(|target| !target.is_deprioritized()).collect();
+    let mut candidates: Vec<&Arc<Target>> = ready
+        .iter()
+        .filter(is_untried)
+        .filter(|target| !target.is_deprioritized() && !limits.is_avoided(&target.instance, now))
+        .collect();
+    let needs_trickle =
+        |target: &&&Arc<Target>| limits.needs_trickle(&target.instance, entries, now);
+    if let Some(target) = candidates.iter().find(needs_trickle) {
+        return Some(Arc::clone(target));
+    }
+    drop(limits);
     if candidates.is_empty() {
         candidates = ready.iter().filter(|target| !target.is_unreachable()).collect();
     }
--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        permit,
         shared::Shared,
         snapshot::Snapshot,
         traffic::{
@@ -21,7 +22,8 @@
     http::{HeaderValue, Request, Response, header as standard, request::Parts},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    key::Service,
+    key::{Service, clock::Tick},
+    limit::{Permit, Request as PermitRequest},
     platform::header::{self, Denial},
     route::{
         Reason, Refusal,
@@ -106,7 +108,7 @@
         Err(refusal) => {
             let id_text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             log_refusal(&shared, refusal, None, id_text, arrived_at, 0);
-            refusal::response(refusal, DEFAULT_CALLER_TIMEOUT, shared.settings.vm.as_str())
+            refusal::response(refusal, None, DEFAULT_CALLER_TIMEOUT, shared.settings.vm.as_str())
         }
     };
     if let Some(id) = id {
@@ -206,8 +208,7 @@
                 .or_default() += 1;
         }
     }
-    let mut attempts =
-        Attempts { shared, admitted, sent: 0, may_have_run: false, tried: Vec::new() };
+    let mut attempts = Attempts::new(shared, admitted);
     match attempts.run().await {
         Ok(response) => {
             shared.counters.count("answers", admitted.service.as_str());
@@ -225,7 +226,8 @@
                 admitted.arrived_at,
                 attempts.sent,
             );
-            refusal::response(refusal, admitted.call.remaining(), shared.settings.vm.as_str())
+            let remaining = admitted.call.remaining();
+            refusal::response(refusal, attempts.due_in, remaining, shared.settings.vm.as_str())
         }
     }
 }
@@ -240,9 +242,15 @@
     may_have_run: bool,
     /// The targets of the attempts so far.
     tried: Vec<Arc<Target>>,
+    /// The time after which a target that refused the request for its rate limit can take it.
+    due_in: Option<Duration>,
 }
 
-impl Attempts<'_> {
+impl<'a> Attempts<'a> {
+    const fn new(shared: &'a Shared, admitted: &'a AdmittedRequest) -> Self {
+        Self { shared, admitted, sent: 0, may_have_run: false, tried: Vec::new(), due_in: None }
+    }
+
     /// Makes attempts until one settles the request.
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let mut misdirections = 0;
@@ -253,11 +261,11 @@
             if self.shared.quarantine().is_refused(self.admitted.fingerprint) {
                 return Err(self.refusal(Reason::Quarantined));
             }
-            let target = self.next_target().await?;
             if self.sent > 0 && !self.try_retry() {
                 return Err(self.refusal(Reason::Overloaded));
             }
-            let result = attempt::send(&self.admitted.call, &target).await;
+            let target = self.next_permitted_target().await?;
+            let result = attempt::send(self.shared, &self.admitted.call, &target).await;
             if !matches!(result, AttemptResult::Unsent(_)) {
                 self.sent += 1;
             }
@@ -326,8 +334,8 @@
     /// Tries one other target after a failure response, and returns the failure if that attempt
     /// gets no response.
     async fn final_attempt(&mut self, failure: Response<Body>) -> Result<Response<Body>, Refusal> {
-        let Ok(target) = self.next_target().await else { return Ok(failure) };
-        let result = attempt::send(&self.admitted.call, &target).await;
+        let Ok(target) = self.next_permitted_target().await else { return Ok(failure) };
+        let result = attempt::send(self.shared, &self.admitted.call, &target).await;
         self.sent += 1;
         match result {
             AttemptResult::Answered(response) => Ok(*response),
@@ -371,6 +379,48 @@
         allowed
     }
 
+    /// Returns the target of the next attempt, with a permit if it names a rate limit. A request
+    /// that gets none goes to another target if the service has no keys, or else is refused.
+    async fn next_permitted_target(&mut self) -> Result<Arc<Target>, Refusal> {
+        const MAX_PERMIT_REQUESTS: usize = 3;
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            let target = self.next_target().await?;
+            let has_choice = !self.admitted.keyed
+                && !self.shared.limits().is_avoided(&target.instance, Tick::now());
+            let request = self.permit_request(has_choice);
+            match permit::acquire(self.shared, &target.instance, request).await {
+                Permit::After(wait) => {
+                    time::sleep(wait).await;
+                    return Ok(target);
+                }
+                Permit::Refused(due_in) => {
+                    self.due_in = Some(self.due_in.map_or(due_in, |other| other.min(due_in)));
+                    if !has_choice {
+                        break;
+                    }
+                    self.shared.limits().avoid(&target.instance, due_in, Tick::now());
+                }
+            }
+        }
+        Err(self.refusal(Reason::RateLimited))
+    }
+
+    /// Returns how long the request can wait for a permit, and its priority. A request that has a
+    /// choice of targets does not wait.
+    fn permit_request(&self, has_choice: bool) -> PermitRequest {
+        let snapshot = self.shared.snapshot.load();
+        let routes = snapshot.routing.iter().flat_map(|routing| &routing.routes);
+        let competing = routes
+            .filter(|route| route.parts.iter().any(|part| part.service == self.admitted.service));
+        let highest = competing.map(|route| route.priority).min();
+        let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
+        let wait = wait.saturating_sub(self.admitted.arrived_at.elapsed());
+        PermitRequest {
+            max_wait: if has_choice { Duration::ZERO } else { wait },
+            is_urgent: highest.is_none_or(|highest| self.admitted.route.priority <= highest),
+        }
+    }
+
     /// Returns the target of the next attempt. Waits up to a fraction of the latency objective for
     /// one that can be used.
     async fn next_target(&self) -> Result<Arc<Target>, Refusal> {
--- a/crates/edge/src/traffic/refusal.rs
+++ b/crates/edge/src/traffic/refusal.rs
@@ -38,8 +38,13 @@
 }
 
 /// Returns the response to a refused request; `remaining` is the time that its caller has left, and
-/// bounds `Retry-After`.
-pub(crate) fn response(refusal: Refusal, remaining: Duration, vm: &str) -> Response<Body> {
+/// bounds `Retry-After`. `due_in` is the time after which the request can be served, if it is known.
+pub(crate) fn response(
+    refusal: Refusal,
+    due_in: Option<Duration>,
+    remaining: Duration,
+    vm: &str,
+) -> Response<Body> {
     let Refusal { outcome, reason } = refusal;
     let body = serde_json::to_vec(&RefusalBody { outcome, reason, vm }).unwrap_or_default();
     let mut response = Response::new(Body::Buffered(body.into()));
@@ -47,9 +52,9 @@
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        let retry_after =
-            if reason == Reason::NoOwner { RETRY_AFTER_REASSIGNMENT } else { RETRY_AFTER_OVERLOAD }
-                .min(remaining / 3);
+        let usual =
+            if reason == Reason::NoOwner { RETRY_AFTER_REASSIGNMENT } else { RETRY_AFTER_OVERLOAD };
+        let retry_after = due_in.unwrap_or(usual).min(remaining / 3);
         if let Ok(retry_after) = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64()))
         {
             response.headers_mut().insert(header::RETRY_AFTER, retry_after);
--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -14,6 +14,17 @@
 /// The difference in utilisation below which no keys are reassigned, unless the recipient has none.
 const MIN_UTILISATION_GAP: f64 = 0.3;
 
+/// The same difference for a donor that gets more requests than its rate limit allows, some of which
+/// are refused until keys are reassigned.
+const MIN_OVER_LIMIT_GAP: f64 = 0.1;
+
+/// The utilisation from which a target with a rate limit counts as over it: arrivals vary, so that
+/// requests are refused before the mean reaches the limit.
+const OVER_LIMIT_UTILISATION: f64 = 0.85;
+
+/// The fraction of the donor's cost of a request below which a recipient counts as cheaper.
+const MAX_CHEAPER_COST: f64 = 0.8;
+
 /// The utilisation below which a target donates no keys.
 const MIN_DONOR_UTILISATION: f64 = 0.35;
 
@@ -35,6 +46,8 @@
 pub struct Load {
     rates: BTreeMap<u16, f64>,
     service_times: BTreeMap<Instance, f64>,
+    /// The rate limits that targets name, in requests per second.
+    rate_limits: BTreeMap<Instance, f64>,
 }
 
 /// A target that may receive keys, or donate some.
@@ -80,17 +93,24 @@
         *time += SERVICE_TIME_WEIGHT * (seconds - *time);
     }
 
+    /// Replaces the rate limits that targets name, in requests per second.
+    pub fn set_rate_limits(&mut self, rate_limits: BTreeMap<Instance, f64>) {
+        self.rate_limits = rate_limits;
+    }
+
     /// Returns the request rate of a span, in requests per second.
     #[must_use]
     pub fn rate(&self, span: Span) -> f64 {
         self.rates.range(span.first..=span.last).map(|(_, rate)| rate).sum()
     }
 
-    /// Returns the utilisation that one request per second causes at a target.
-    fn cost(&self, candidate: &Candidate) -> f64 {
-        let time =
-            self.service_times.get(&candidate.instance).copied().unwrap_or(DEFAULT_SERVICE_TIME_S);
-        time / f64::from(candidate.slots.max(1))
+    /// Returns the utilisation that one request per second causes at a target: of its slots, or of
+    /// its rate limit if that is reached first.
+    #[must_use]
+    pub fn cost(&self, instance: &Instance, slots: u32) -> f64 {
+        let time = self.service_times.get(instance).copied().unwrap_or(DEFAULT_SERVICE_TIME_S);
+        let of_slots = time / f64::from(slots.max(1));
+        self.rate_limits.get(instance).map_or(of_slots, |limit| of_slots.max(limit.recip()))
     }
 
     /// Returns the part of `span` with the highest rate up to `max_rate`, and its weighted rate.
@@ -152,7 +172,7 @@
 #[must_use]
 pub fn utilisation(map: &Map, load: &Load, candidate: &Candidate) -> f64 {
     let rates = map.held_by(&candidate.instance).map(|assignment| load.rate(assignment.span));
-    rates.sum::<f64>() * load.cost(candidate)
+    rates.sum::<f64>() * load.cost(&candidate.instance, candidate.slots)
 }
 
 /// The load of a target while reassignments are chosen.
@@ -164,6 +184,8 @@
     rate: f64,
     /// The utilisation that one request per second causes at it.
     cost: f64,
+    /// Whether it names a rate limit.
+    is_limited: bool,
     /// Whether it has no keys left that it can usefully donate.
     is_exhausted: bool,
 }
@@ -177,7 +199,8 @@
             candidate,
             spans,
             rate,
-            cost: load.cost(candidate),
+            cost: load.cost(&candidate.instance, candidate.slots),
+            is_limited: load.rate_limits.contains_key(&candidate.instance),
             is_exhausted: !candidate.can_donate,
         }
     }
@@ -185,6 +208,15 @@
     fn utilisation(&self) -> f64 {
         self.rate * self.cost
     }
+
+    /// Returns by how much the utilisation of a recipient must be lower for a reassignment.
+    fn min_gap(&self) -> f64 {
+        if self.is_limited && self.utilisation() >= OVER_LIMIT_UTILISATION {
+            MIN_OVER_LIMIT_GAP
+        } else {
+            MIN_UTILISATION_GAP
+        }
+    }
 }
 
 /// Chooses at most `limit` spans to reassign from the busiest targets to the least busy.
@@ -211,14 +243,22 @@
         let is_new = targets[recipient].spans.is_empty() && targets[recipient].rate <= 0.0;
         if donor == recipient
             || targets[donor].utilisation() < MIN_DONOR_UTILISATION
-            || (gap < MIN_UTILISATION_GAP && !is_new)
+            || (gap < targets[donor].min_gap() && !is_new)
         {
             break;
         }
         // Reassigning this rate would make the two equally utilised.
         let max_rate = gap / (targets[donor].cost + targets[recipient].cost);
         let min_rate = MIN_REASSIGNED_UTILISATION / targets[donor].cost;
-        let Some((index, span)) = best_part(load, &targets[donor].spans, max_rate, min_rate) else {
+        let part = best_part(load, &targets[donor].spans, max_rate, min_rate).or_else(|| {
+            // A busy key that is too much to even the two out still goes to a recipient that serves
+            // it at a lower cost and stays less utilised than the donor is now.
+            let is_cheaper = targets[recipient].cost < targets[donor].cost * MAX_CHEAPER_COST;
+            let max_rate = (gap - targets[donor].min_gap()) / targets[recipient].cost;
+            let spans = &targets[donor].spans;
+            is_cheaper.then(|| best_part(load, spans, max_rate, min_rate)).flatten()
+        });
+        let Some((index, span)) = part else {
             targets[donor].is_exhausted = true;
             continue;
         };
--- a/crates/hold/src/planner/place.rs
+++ b/crates/hold/src/planner/place.rs
@@ -144,39 +144,38 @@
         span: Span,
         now: Tick,
     ) -> Option<Holder> {
-        let ready: Vec<Holder> = self
+        let ready: Vec<(Holder, u32)> = self
             .ready_targets(registry, now)
-            .map(to_holder)
-            .filter(|holder| !self.is_unresponsive(&holder.instance))
-            .filter(|holder| !self.ended_instances.contains(&holder.instance))
+            .map(|target| (to_holder(target), target.registration.slots))
+            .filter(|(holder, _)| !self.is_unresponsive(&holder.instance))
+            .filter(|(holder, _)| !self.ended_instances.contains(&holder.instance))
             .collect();
-        let preferred =
-            preferred.and_then(|instance| ready.iter().find(|holder| holder.instance == *instance));
-        if let Some(holder) = preferred {
+        let preferred = preferred
+            .and_then(|instance| ready.iter().find(|(holder, _)| holder.instance == *instance));
+        if let Some((holder, _)) = preferred {
             return Some(holder.clone());
         }
         // A target that has restarted under its name keeps the keys it had.
         let previous =
             self.map.assignment(span.first).and_then(|assignment| self.map.holder(assignment));
         let restarted = previous.and_then(|previous| {
-            ready.iter().find(|holder| {
+            ready.iter().find(|(holder, _)| {
                 holder.instance.vm == previous.instance.vm
                     && holder.instance.started_at_ms > previous.instance.started_at_ms
             })
         });
-        if let Some(holder) = restarted {
+        if let Some((holder, _)) = restarted {
             return Some(holder.clone());
         }
         // All keys together weigh as much as one request per second, so that the number of keys
         // decides between targets with little load.
-        let weight = |holder: &Holder| {
-            let held = map.held_by(&holder.instance);
-            held.map(|assignment| {
-                self.load.rate(assignment.span) + f64::from(assignment.span.width()) / 65_536.0
-            })
-            .sum::<f64>()
+        let weight = |span: Span| self.load.rate(span) + f64::from(span.width()) / 65_536.0;
+        let utilisation = |(holder, slots): &(Holder, u32)| {
+            let held = map.held_by(&holder.instance).map(|assignment| weight(assignment.span));
+            (held.sum::<f64>() + weight(span)) * self.load.cost(&holder.instance, *slots)
         };
-        ready.into_iter().min_by(|a, b| weight(a).total_cmp(&weight(b)))
+        let least = ready.iter().min_by(|a, b| utilisation(a).total_cmp(&utilisation(b)));
+        least.map(|(holder, _)| holder.clone())
     }
 }
 
--- a/crates/hold/tests/balance.rs
+++ b/crates/hold/tests/balance.rs
@@ -136,3 +136,49 @@
     let is_valid = |span: Span| span.first <= span.last;
     assert!(reassignments.iter().all(|reassignment| is_valid(reassignment.span)));
 }
+
+/// The load of four targets, one of which names a rate limit, with as many requests for each.
+fn load_with_limit(requests_per_target: u32, hot_key_requests: u32) -> Load {
+    let mut load = Load::default();
+    for target in 0..4_u16 {
+        for key in 0..10 {
+            let requests = if key == 5 && target == 0 { hot_key_requests } else { 1 };
+            let requests = requests * requests_per_target / 10;
+            load.record_requests(target * 16_384 + key * 100, requests);
+        }
+    }
+    load.set_rate_limits([(instance(0), 2.0)].into());
+    load
+}
+
+#[test]
+fn keys_leave_a_target_that_gets_more_than_its_rate_limit() {
+    struct Case {
+        name: &'static str,
+        load: Load,
+        /// The highest rate that the limited target may have afterwards, in requests per second.
+        max_limited_rate: f64,
+    }
+    let cases = [
+        Case { name: "even load", load: load_with_limit(20, 1), max_limited_rate: 2.5 },
+        Case {
+            name: "a key that exceeds the limit",
+            load: load_with_limit(10, 20),
+            max_limited_rate: 2.5,
+        },
+    ];
+    for case in cases {
+        let rates = rates(&even_map(4), &case.load, 4, 40);
+        assert!(rates[0] <= case.max_limited_rate, "{}: {rates:?}", case.name);
+        assert!(rates[0] > 0.0, "{}: a target without requests cannot end its limit", case.name);
+    }
+}
+
+#[test]
+fn a_limit_that_is_over_costs_nothing() {
+    let mut load = load_with_limit(20, 1);
+    let candidate = &candidates(1)[0];
+    assert!(load.cost(&candidate.instance, candidate.slots) >= 0.5);
+    load.set_rate_limits(std::collections::BTreeMap::new());
+    assert!(load.cost(&candidate.instance, candidate.slots) < 0.2);
+}
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -534,3 +534,25 @@
         fixture.carry_out(actions);
     }
 }
+
+#[test]
+fn keys_of_a_lost_target_do_not_go_to_one_that_names_a_rate_limit() {
+    let mut fixture = Fixture::new(3);
+    let limited = registration(1, 1, State::Ready).instance();
+    let lost = registration(2, 1, State::Ready).instance();
+    let keys_of = |fixture: &Fixture, instance: &Instance| {
+        let held = fixture.planner.map().held_by(instance);
+        held.map(|assignment| assignment.span.width()).sum::<u32>()
+    };
+    let before = keys_of(&fixture, &limited);
+    for key in (0..=u16::MAX).step_by(512) {
+        fixture.planner.load_mut().record_requests(key, 1);
+    }
+    fixture.planner.load_mut().set_rate_limits([(limited.clone(), 1.0)].into());
+    fixture.planner.record_instance_end(&lost);
+    let registry = &mut fixture.registry;
+    registry.remove(&lost.vm, tick_at_ms(fixture.now_ms));
+    fixture.run_until_settled();
+    assert_eq!(keys_of(&fixture, &lost), 0);
+    assert!(keys_of(&fixture, &limited) <= before, "the limited target got keys");
+}
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -49,6 +49,9 @@
     /// The load of the service exceeds its limits.
     #[display("overloaded")]
     Overloaded,
+    /// Every target that can serve the request has reached the rate limit that it names.
+    #[display("rate-limited")]
+    RateLimited,
     /// A service on which this service depends is down.
     #[display("dependency-down")]
     DependencyDown,
@@ -116,7 +119,9 @@
     #[must_use]
     pub const fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoOwner | Self::Unreachable | Self::Overloaded => Some(Duration::from_secs(1)),
+            Self::NoOwner | Self::Unreachable | Self::Overloaded | Self::RateLimited => {
+                Some(Duration::from_secs(1))
+            }
             Self::DependencyDown | Self::ClaimUnavailable => Some(Duration::from_secs(5)),
             Self::Quarantined => Some(Duration::from_secs(60)),
             _ => None,
