--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::journal::{Kind, Line},
-    key::{Incarnation, Shard, Vm, clock::Tick},
+    key::{Fence, Incarnation, Shard, Vm, clock::Tick},
     smol_str::SmolStr,
     std::collections::{BTreeMap, HashMap},
 };
@@ -213,6 +213,42 @@
     overlaps
 }
 
+/// A grant whose fencing token another target has had for one of its keys, or that is lower.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StaleFence {
+    /// The time of the grant.
+    pub at: Tick,
+    /// The target that accepted it.
+    pub target: Vm,
+    /// The fencing token of the grant.
+    pub fence: Fence,
+    /// The other target, and the highest fencing token that it has had for one of the keys.
+    pub other: (Vm, Fence),
+}
+
+/// Returns the grants whose fencing token is not above all with which other targets had the keys.
+#[must_use]
+pub fn stale_fences(lines: &[Line]) -> Vec<StaleFence> {
+    let mut granted: Vec<(u16, u16, Fence, &Vm)> = Vec::new();
+    let mut stale = Vec::new();
+    for line in lines {
+        let Kind::Granted { first, last, fence, .. } = &line.kind else { continue };
+        let others = granted.iter().filter(|(from, to, other_fence, vm)| {
+            *vm != &line.vm && from <= last && first <= to && other_fence >= fence
+        });
+        stale.extend(others.max_by_key(|other| other.2).map(|other| StaleFence {
+            at: line.at,
+            target: line.vm.clone(),
+            fence: *fence,
+            other: (other.3.clone(), other.2),
+        }));
+        if !granted.contains(&(*first, *last, *fence, &line.vm)) {
+            granted.push((*first, *last, *fence, &line.vm));
+        }
+    }
+    stale
+}
+
 /// Returns how often the POST request with each id ran.
 #[must_use]
 pub fn run_counts(lines: &[Line]) -> BTreeMap<String, usize> {
--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -3,7 +3,7 @@
 //! Rows are kept in memory. Each commit, direct write and expiry raises the version of the whole
 //! store by one. A bounded history of changes answers the feeds; a feed that asks for changes older
 //! than the history gets status 410. Rows of the table of targets expire unless they are written
-//! again.
+//! again. The store can go back to a copy of its rows, which loses what was written since.
 
 use {
     http::{Method, Request, StatusCode},
@@ -60,8 +60,17 @@
     value: Option<String>,
 }
 
+/// The rows of a store at one moment, to which it can go back.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    rows: BTreeMap<RowId, (String, u64)>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// The number of times that the store has gone back to a copy, which every response states.
+    era: u64,
     rows: BTreeMap<RowId, (String, u64)>,
     changes: VecDeque<Change>,
     /// The newest version that is no longer in the history.
@@ -211,6 +220,28 @@
         state.compacted_version = state.version;
     }
 
+    /// Returns a copy of all rows.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Goes back to a copy: what was written since is lost, and its versions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.state();
+        state.era += 1;
+        state.rows = copy.rows.clone();
+        state.version = copy.version;
+        state.changes.clear();
+        state.compacted_version = copy.version;
+        let targets: Vec<RowId> =
+            state.rows.keys().filter(|id| id.0 == TARGETS_TABLE).cloned().collect();
+        state.heartbeats = targets.into_iter().map(|id| (id, Tick::now())).collect();
+        drop(state);
+        self.change_count.send_modify(|count| *count += 1);
+    }
+
     /// Serves calls on `listener` forever.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         let store = Arc::clone(&self);
@@ -228,7 +259,15 @@
         .await;
     }
 
+    /// Handles a call and states the era in the reply, as it is when the reply is sent.
     async fn handle_request(&self, request: Request<Incoming>) -> wire::Reply {
+        let mut reply = self.reply(request).await;
+        let era = self.state().era;
+        reply.headers_mut().insert("store-era", era.into());
+        reply
+    }
+
+    async fn reply(&self, request: Request<Incoming>) -> wire::Reply {
         let path = request.uri().path().to_owned();
         let fault = self.state().fault;
         if path.starts_with("/admin/") {
@@ -337,7 +376,7 @@
         loop {
             {
                 let state = self.state();
-                if after < state.compacted_version {
+                if after < state.compacted_version || after > state.version {
                     return wire::status(StatusCode::GONE);
                 }
                 let newer = state.changes.iter();
--- /dev/null
+++ b/crates/trial/tests/restored_store.rs
@@ -0,0 +1,132 @@
+//! A store that comes back from a copy some seconds old: what the entries know outlives it.
+
+use {
+    standin::{caller::Route, check, holder, rows},
+    std::{fs, time::Duration},
+    tokio::time,
+    trial::{Site, SitePlan, SiteRequest, eventually},
+};
+
+const ENTRY_COUNT: usize = 3;
+
+/// The target that leaves in the time that the store loses.
+const LEAVING_TARGET: usize = 0;
+
+/// The target that is restarted after the store's return.
+const RESTARTED_TARGET: usize = 1;
+
+/// How long the store does not answer before it returns.
+const OUTAGE: Duration = Duration::from_secs(2);
+
+const ROUTES: [Route; 3] = [
+    Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
+    Route { prefix: "/orders/", kind: "unsafe", service: "orders" },
+    Route { prefix: "/later/", kind: "unsafe", service: "orders" },
+];
+
+/// The route that the operator adds in the time that the store loses.
+fn later_order() -> SiteRequest {
+    SiteRequest { path: "/later/new".to_owned(), ..SiteRequest::order() }
+}
+
+fn sample_keys() -> impl Iterator<Item = u16> {
+    (0..=u16::MAX).step_by(4_099)
+}
+
+/// Returns the entry whose log says last that it leads.
+fn leader(site: &Site) -> usize {
+    let since = |entry: &usize| {
+        let log = fs::read_to_string(site.entry_log_path(*entry)).expect("the log cannot be read");
+        let line = log.lines().rfind(|line| line.contains("\"this process\""));
+        line.and_then(|line| line.split(&[':', ','][..]).nth(1)?.parse::<u64>().ok())
+    };
+    (0..ENTRY_COUNT).max_by_key(since).expect("an entry")
+}
+
+/// Starts a site, in which one target leaves and one route is added; then the store goes back to
+/// what it was before these changes, while the operator has not yet written again.
+async fn start_with_restored_store() -> Site {
+    let plan = SitePlan { entries: ENTRY_COUNT, grant_duration_ms: 7_500, ..SitePlan::default() };
+    let site = Site::start(plan).await;
+    let copy = site.store.copy();
+    site.write_routing(7, &ROUTES);
+    let leaving = holder::Fault { draining: true, ..holder::Fault::default() };
+    site.set_target_fault(LEAVING_TARGET, leaving).await;
+    for entry in 0..ENTRY_COUNT {
+        site.wait_until_served(entry, &later_order()).await;
+    }
+    // The keys of the target that leaves are handed over.
+    time::sleep(Duration::from_secs(2)).await;
+    site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
+    time::sleep(OUTAGE).await;
+    site.store.restore(&copy);
+    site.store.set_fault(rows::Fault::default());
+    site
+}
+
+/// Checks the journals of all targets.
+fn verify_journal(site: &Site) {
+    let lines = site.journal_lines();
+    let overlaps = check::key_overlaps(&lines);
+    assert!(overlaps.is_empty(), "a key had two holders: {:?}", overlaps.first());
+    let stale = check::stale_fences(&lines);
+    assert!(stale.is_empty(), "a fence was given twice: {:?}", stale.first());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_get_holders_after_the_store_went_back() {
+    let mut site = start_with_restored_store().await;
+    time::sleep(Duration::from_secs(2)).await;
+    for entry in 0..ENTRY_COUNT {
+        let response = site.send(entry, &later_order()).await;
+        assert!(response.is_served(), "a confirmed change was undone: {response:?}");
+    }
+    site.write_routing(7, &ROUTES);
+    site.kill_target(RESTARTED_TARGET);
+    site.start_target(RESTARTED_TARGET);
+    for key in sample_keys() {
+        site.wait_until_served(1, &SiteRequest::lookup(key)).await;
+    }
+    site.write_routing(9, &ROUTES[..2]);
+    eventually("a later change is in force", || async {
+        let response = site.send(2, &later_order()).await;
+        (response.status.map(|status| status.as_u16()) == Some(404)).then_some(())
+    })
+    .await;
+    verify_journal(&site);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_have_one_holder_when_the_leader_is_lost_after_the_store_went_back() {
+    let mut site = start_with_restored_store().await;
+    time::sleep(Duration::from_millis(500)).await;
+    let leader = leader(&site);
+    site.kill_entry(leader);
+    site.start_entry(leader);
+    time::sleep(Duration::from_secs(2)).await;
+    for entry in 0..ENTRY_COUNT {
+        for key in sample_keys() {
+            site.wait_until_served(entry, &SiteRequest::lookup(key)).await;
+        }
+        site.wait_until_served(entry, &later_order()).await;
+    }
+    verify_journal(&site);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_have_one_holder_when_all_entries_are_lost_after_the_store_went_back() {
+    let mut site = start_with_restored_store().await;
+    for entry in 0..ENTRY_COUNT {
+        site.kill_entry(entry);
+    }
+    for entry in 0..ENTRY_COUNT {
+        site.start_entry(entry);
+    }
+    site.write_routing(7, &ROUTES);
+    // No process remembers who got keys in the lost time, so these grants have to run out first.
+    time::sleep(Duration::from_secs(20)).await;
+    for key in sample_keys() {
+        site.wait_until_served(0, &SiteRequest::lookup(key)).await;
+    }
+    verify_journal(&site);
+}
