--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -40,8 +40,9 @@
 /// The longest pause after a change of the table of entries.
 const MAX_ENTRIES_PAUSE: Duration = Duration::from_millis(2_000);
 
-/// The number of outages of the store that have ended. A long poll that was in flight during an
-/// outage may never be answered, so each change of this number makes the feeds poll again.
+/// The number of outages of the store that have ended, returns from a copy included. A long poll that
+/// was in flight during an outage may never be answered, so each change of this number makes the
+/// feeds poll again.
 pub(crate) type OutageCount = watch::Receiver<u64>;
 
 /// Waits for changes of a table, and polls again after an outage.
@@ -98,13 +99,13 @@
             continue;
         };
         let mut version = rows.version;
-        send(&inputs, Input::EntryRows { rows: rows.rows, complete: true }).await;
+        send(&inputs, Input::EntryRows { rows, complete: true }).await;
         loop {
             match next_rows(&store, Table::Entries, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
                     let changed = !rows.rows.is_empty();
-                    send(&inputs, Input::EntryRows { rows: rows.rows, complete: false }).await;
+                    send(&inputs, Input::EntryRows { rows, complete: false }).await;
                     if changed {
                         time::sleep(pause_after_change(
                             &shared,
@@ -129,11 +130,15 @@
     shared: Arc<Shared>,
 ) {
     let mut unavailable = false;
+    let mut last_era = None;
     let mut staleness = Staleness::default();
     let mut record_poll = |answered: bool| {
-        if answered && unavailable {
+        let era = store.known_era();
+        let is_new_era = last_era.is_some() && era != last_era;
+        if (answered && unavailable) || is_new_era {
             outage_count.send_modify(|count| *count += 1);
         }
+        last_era = era;
         unavailable = !answered;
     };
     loop {
@@ -151,7 +156,7 @@
             received_at: Tick::now(),
             store_clock: rows.clock,
         });
-        send(&inputs, Input::TargetRows { rows: rows.rows, complete: true, lag }).await;
+        send(&inputs, Input::TargetRows { rows, complete: true, lag }).await;
         loop {
             let sent_at = Tick::now();
             match store.watch(Table::Targets, version).await {
@@ -165,8 +170,7 @@
                         received_at,
                         store_clock: rows.clock,
                     });
-                    send(&inputs, Input::TargetRows { rows: rows.rows, complete: false, lag })
-                        .await;
+                    send(&inputs, Input::TargetRows { rows, complete: false, lag }).await;
                     if changed {
                         time::sleep(pause_after_change(
                             &shared,
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -2,17 +2,17 @@
 
 use {
     crate::control::{
-        peers::{Hello, MapDelta, Reply, Report},
+        peers::{Hello, Knowledge, KnowledgeQuery, MapDelta, Reply, Report},
         records::LeadershipRecord,
     },
     hold::{
         Instance, Span,
         planner::{Grant, Outcome},
     },
-    key::{Service, Version, Vm, clock::Tick},
+    key::{Era, Service, Version, Vm, clock::Tick},
     platform::{
         order::Connection,
-        store::{Commit, Row},
+        store::{Commit, Row, Rows},
     },
     smol_str::SmolStr,
     std::time::Duration,
@@ -27,16 +27,25 @@
     /// Rows of the operators' table have changed.
     OperatorRows(Vec<Row>),
     /// Rows of the registry have changed, at most `lag` ago, or the registry was read in full.
-    TargetRows { rows: Vec<Row>, complete: bool, lag: Duration },
+    TargetRows { rows: Rows, complete: bool, lag: Duration },
     /// The registry could not be read.
     TargetsUnavailable,
     /// Rows of the table of entries have changed, or it was read in full.
-    EntryRows { rows: Vec<Row>, complete: bool },
+    EntryRows { rows: Rows, complete: bool },
     /// The table of maps was read in full. The leader reads the table of entries before it;
     /// `entries` holds those rows and the time at which that read was sent.
-    MapRows { rows: Vec<Row>, entries: Option<(Vec<Row>, Tick)> },
+    MapRows { rows: Rows, entries: Option<(Rows, Tick)> },
+    /// The table of maps could not be read, or not in the era of the table of entries.
+    MapRowsUnavailable,
     /// The leader has committed a change of a map.
     MapDelta(MapDelta),
+    /// This entry's own row is written.
+    MemberWritten,
+    /// The other entries have answered what they know, after this process won the leadership in
+    /// `era`.
+    KnowledgeCollected { era: Era, answers: Vec<Knowledge> },
+    /// A peer that won the leadership in a new era asks what this process knows.
+    Knowledge { query: KnowledgeQuery, reply_to: oneshot::Sender<Knowledge> },
     /// The write of the leadership record has ended.
     CampaignResult { record: LeadershipRecord, commit: Commit },
     /// The peers have answered: how many get no replies from the leader, and whether any does.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -63,8 +63,7 @@
     tokio::task::spawn_local(peers::serve(listener, sender.clone(), Arc::clone(&context.shared)));
     let (outage_count, outages) = watch::channel(0);
     let feed = (store.clone(), sender.clone());
-    let registry_store =
-        Store::new(context.shared.settings.store, STORE_CALL_TIMEOUT, REGISTRY_POLL_DURATION);
+    let registry_store = store.with_poll_duration(REGISTRY_POLL_DURATION);
     tokio::task::spawn_local(feeds::follow_operator(
         feed.0.clone(),
         feed.1.clone(),
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -15,7 +15,7 @@
     hold::{Instance, Map, Registration, map::Delta},
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
-    key::{Incarnation, Service, Version, Vm, clock::Tick},
+    key::{Era, Incarnation, Service, Version, Vm, clock::Tick},
     limit::{Rate, Word},
     route::quarantine::CrashReport,
     serde::{Deserialize, Serialize},
@@ -34,6 +34,7 @@
 const CHANGE_PATH: &str = "/change";
 const LEADER_PATH: &str = "/lead";
 const HELLO_PATH: &str = "/hello";
+const KNOWLEDGE_PATH: &str = "/knowledge";
 
 /// The number of requests for one key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -98,6 +99,10 @@
 pub(crate) struct Report {
     pub(crate) vm: Vm,
     pub(crate) routing: Version,
+    /// The routing configuration, if it is newer than the leader's at its last reply: a leader that
+    /// has just started may have read an older one from a store that came back from a copy.
+    #[serde(default)]
+    pub(crate) newer_routing: Option<Routing>,
     pub(crate) maps: Vec<MapVersion>,
     /// Whether the reply should include the registry: the entry cannot reach the store, or knows no
     /// target.
@@ -165,6 +170,9 @@
     /// The number of entries that report, the leader included.
     pub(crate) entries: usize,
     pub(crate) routing: Option<Routing>,
+    /// The version of the leader's routing configuration.
+    #[serde(default)]
+    pub(crate) routing_version: Version,
     pub(crate) maps: Vec<NewMap>,
     pub(crate) targets: Option<Vec<VersionedRegistration>>,
     #[serde(rename = "strikes")]
@@ -184,6 +192,27 @@
     1.0
 }
 
+/// The question of a process that won the leadership in a new era of the store, with what it knows
+/// itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct KnowledgeQuery {
+    pub(crate) era: Era,
+    pub(crate) maps: Vec<MapVersion>,
+    pub(crate) routing: Version,
+}
+
+/// The answer: what an entry knows, as far as it is newer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Knowledge {
+    /// The era of the store in which the entry first heard from it. An entry that has heard from it
+    /// in an earlier era remembers what the store may have lost.
+    pub(crate) first_era: Option<Era>,
+    /// The version of the newest leadership record of earlier eras that the entry knows.
+    pub(crate) former_leadership: Version,
+    pub(crate) maps: Vec<NewMap>,
+    pub(crate) routing: Option<Routing>,
+}
+
 /// The answer to a poll: what an entry knows of the leader.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Hello {
@@ -238,6 +267,14 @@
             .await;
             wire::json(StatusCode::OK, &())
         }
+        KNOWLEDGE_PATH if request.method() == Method::POST => {
+            let Ok(query) = wire::read_json::<KnowledgeQuery>(request, MAX_BODY_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            let (reply_to, reply) = oneshot::channel();
+            send(&inputs, Input::Knowledge { query, reply_to }).await;
+            reply_with(reply.await)
+        }
         HELLO_PATH => {
             let (reply_to, reply) = oneshot::channel();
             send(&inputs, Input::Hello { reply_to }).await;
@@ -295,6 +332,16 @@
         join_all(members.into_iter().map(send)).await;
     }
 
+    /// Asks entries what they know; those that do not answer in time are left out.
+    pub(crate) async fn collect_knowledge(
+        &self,
+        members: Vec<SocketAddr>,
+        query: &KnowledgeQuery,
+    ) -> Vec<Knowledge> {
+        let ask = |to| async move { self.client.post(to, KNOWLEDGE_PATH, query).await.ok() };
+        join_all(members.into_iter().map(ask)).await.into_iter().flatten().collect()
+    }
+
     /// Asks entries whether the leader responds to them. Returns how many say that it does not, and
     /// whether any says that it does.
     pub(crate) async fn poll(&self, members: Vec<SocketAddr>) -> (usize, bool) {
--- a/crates/edge/src/control/records.rs
+++ b/crates/edge/src/control/records.rs
@@ -1,7 +1,7 @@
 //! The rows of the table of entries: the leadership record, and one row per entry.
 
 use {
-    key::{Incarnation, Process, Vm, Zone},
+    key::{Era, Incarnation, Process, Version, Vm, Zone},
     serde::{Deserialize, Serialize},
     smol_str::{SmolStr, format_smolstr},
     std::net::SocketAddr,
@@ -21,9 +21,18 @@
     pub(crate) address: SocketAddr,
     /// Grows with each change of the leader.
     pub(crate) term: u64,
+    /// The era of the store in which the record was written; earlier releases state none.
+    #[serde(default)]
+    pub(crate) era: Option<Era>,
 }
 
 impl LeadershipRecord {
+    /// Returns the version that the record got when it was written, if the store has it with
+    /// `row_version`.
+    pub(crate) fn version(&self, row_version: Version) -> Version {
+        self.era.map_or(row_version, |era| row_version.of_era(era))
+    }
+
     /// Returns true if the record names this run of a process.
     pub(crate) fn is_held_by(&self, process: &Process) -> bool {
         self.vm == process.vm && self.incarnation == process.incarnation
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -8,6 +8,7 @@
 mod leading;
 mod limiting;
 mod publishing;
+mod recovery;
 
 use {
     crate::{
@@ -22,13 +23,14 @@
     },
     conf::routing::Routing,
     hold::{Election, Map, Registration, Registry, election::Leader},
-    key::{Process, Service, Version, Vm, clock::Tick},
+    key::{Era, Process, Service, Version, Vm, clock::Tick},
     leading::Leadership,
     platform::{
         Store,
-        store::{Commit, ROUTING_KEY, Row, Table, Write},
+        store::{Commit, ROUTING_KEY, Row, Rows, Table, Write},
         text,
     },
+    recovery::Recovery,
     route::quarantine::CrashReport,
     serde::Serialize,
     std::{
@@ -79,7 +81,21 @@
     maps: BTreeMap<Service, Arc<Map>>,
     members: BTreeMap<Vm, Member>,
     leadership_record: Option<LeadershipRecord>,
+    /// The version that the newest record got when it was written.
     leadership_version: Version,
+    /// The version that the record has in the store, which a write has to expect.
+    leadership_row: Version,
+    /// The maps as they were last read from the store, with the versions of their rows.
+    stored_maps: BTreeMap<Service, (Map, Version)>,
+    /// The era of the store, and the one in which this process first heard from it.
+    era: Era,
+    first_era: Option<Era>,
+    /// The version of the newest leadership record of earlier eras.
+    former_leadership_version: Version,
+    /// Whether this entry's own row is being written.
+    joining: bool,
+    /// The version of the leader's routing configuration.
+    leader_routing: Version,
     /// Whether the table of entries has been read in full since the start.
     entries_read: bool,
     election: Election,
@@ -125,6 +141,13 @@
             members: BTreeMap::new(),
             leadership_record: None,
             leadership_version: Version::ZERO,
+            leadership_row: Version::ZERO,
+            stored_maps: BTreeMap::new(),
+            era: Era::ZERO,
+            first_era: None,
+            former_leadership_version: Version::ZERO,
+            joining: false,
+            leader_routing: Version::ZERO,
             entries_read: false,
             election: Election::new(now),
             resigning: false,
@@ -145,7 +168,8 @@
 
     /// Starts the task that writes this entry's row, and repeats it until the store has committed
     /// it.
-    pub(crate) fn join(&self) {
+    pub(crate) fn join(&mut self) {
+        self.joining = true;
         let settings = &self.shared.settings;
         let member = Member {
             incarnation: self.me.incarnation,
@@ -154,24 +178,35 @@
             power: settings.power,
         };
         let key = member_key(&self.me.vm);
-        let store = self.store.clone();
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             following::write_member(&store, key, &member).await;
+            send(&inputs, Input::MemberWritten).await;
         });
     }
 
     /// Handles an input, then publishes a new snapshot if one is needed.
     pub(crate) fn handle(&mut self, input: Input, now: Tick) {
+        self.observe_era(now);
         match input {
             Input::Tick => self.handle_tick(now),
             Input::OperatorRows(rows) => self.apply_operator_rows(&rows),
             Input::TargetRows { rows, complete, lag } => {
                 self.registry.record_poll(true, now);
-                self.apply_target_rows(rows, complete, now.before(lag), now);
+                self.registry.record_era(rows.version.era(), now);
+                self.apply_target_rows(rows.rows, complete, now.before(lag), now);
             }
             Input::TargetsUnavailable => self.registry.record_poll(false, now),
             Input::EntryRows { rows, complete } => self.apply_entry_rows(&rows, complete, now),
             Input::MapRows { rows, entries } => self.apply_map_rows(&rows, entries, now),
+            Input::MapRowsUnavailable => self.map_read_in_flight = false,
+            Input::MemberWritten => self.joining = false,
+            Input::KnowledgeCollected { era, answers } => self.handle_knowledge(era, answers, now),
+            Input::Knowledge { query, reply_to } => {
+                if reply_to.send(self.knowledge_for(&query)).is_err() {
+                    self.shared.counters.count("replies", "too late");
+                }
+            }
             Input::MapDelta(delta) => self.apply_map_delta(&delta),
             Input::CampaignResult { record, commit } => {
                 self.handle_campaign_result(record, commit, now);
@@ -187,7 +222,7 @@
                 self.handle_release_result(&service, &instance, span, result, now);
             }
             Input::LeaderAnnounced { record, version } => {
-                self.apply_leadership(record, version, now);
+                self.apply_leadership(record, self.with_era(version), now);
             }
             Input::Report { report, reply_to } => {
                 let reply = self.handle_report(&report, now);
@@ -242,6 +277,9 @@
                 Version::ZERO,
                 if available { "answers again" } else { "silent" },
             );
+            if available {
+                self.read_rows_anew(now);
+            }
         }
     }
 
@@ -330,12 +368,25 @@
     }
 
     /// Applies rows of the table of entries: the leadership record and the members.
-    fn apply_entry_rows(&mut self, rows: &[Row], complete: bool, now: Tick) {
-        for row in rows {
+    /// A row that the store has lost is not forgotten.
+    fn apply_entry_rows(&mut self, rows: &Rows, complete: bool, now: Tick) {
+        let is_leadership = |row: &&Row| row.key == LEADERSHIP_KEY && row.value.is_some();
+        let leadership_row = rows.rows.iter().find(is_leadership);
+        match leadership_row {
+            Some(row) => self.leadership_row = self.leadership_row.max(row.version),
+            None if complete && rows.version > self.leadership_row => {
+                self.leadership_row = Version::ZERO;
+            }
+            None => {}
+        }
+        for row in &rows.rows {
             let Some(value) = &row.value else { continue };
             match RowKind::from_key(&row.key) {
-                RowKind::Leadership => match serde_json::from_slice(value) {
-                    Ok(record) => self.apply_leadership(record, row.version, now),
+                RowKind::Leadership => match serde_json::from_slice::<LeadershipRecord>(value) {
+                    Ok(record) => {
+                        let version = record.version(row.version);
+                        self.apply_leadership(record, version, now);
+                    }
                     Err(error) => self.log_belief(LEADERSHIP_KEY, row.version, &error.to_string()),
                 },
                 RowKind::Member(vm) => match serde_json::from_slice(value) {
@@ -349,29 +400,41 @@
             }
         }
         self.entries_read |= complete;
+        let own_key = member_key(&self.me.vm);
+        if complete && !self.joining && !rows.rows.iter().any(|row| row.key == own_key) {
+            self.join();
+        }
     }
 
     /// Applies the maps after a full read. Where the rows of entries were read before them, this
     /// also confirms the leadership.
-    fn apply_map_rows(&mut self, rows: &[Row], entries: Option<(Vec<Row>, Tick)>, now: Tick) {
+    fn apply_map_rows(&mut self, rows: &Rows, entries: Option<(Rows, Tick)>, now: Tick) {
         self.map_read_in_flight = false;
-        for row in rows {
+        self.stored_maps.clear();
+        for row in &rows.rows {
             let Some(value) = &row.value else { continue };
             match Map::parse(value, row.version) {
-                Ok(map) => self.apply_map(Service::from(row.key.as_str()), map),
+                Ok(map) => {
+                    let service = Service::from(row.key.as_str());
+                    self.stored_maps.insert(service.clone(), (map.clone(), row.version));
+                    self.apply_map(service, map);
+                }
                 Err(error) => self.log_belief(&row.key, row.version, &error.to_string()),
             }
         }
         if let Some((entries, sent_at)) = entries {
             self.apply_entry_rows(&entries, true, now);
-            self.confirm_leadership(sent_at);
+            self.confirm_leadership(&entries, sent_at, now);
         }
     }
 
     /// Applies a delta to a map. A delta whose base is not the version known here is skipped; the
     /// reply to the next report then brings the whole map.
     fn apply_map_delta(&mut self, delta: &MapDelta) {
-        let map = self.maps.get(&delta.service).and_then(|map| map.with_delta(&delta.delta));
+        let mut change = delta.delta.clone();
+        change.base = self.with_era(change.base);
+        change.version = self.with_era(change.version);
+        let map = self.maps.get(&delta.service).and_then(|map| map.with_delta(&change));
         if let Some(map) = map {
             self.apply_map(delta.service.clone(), map);
         }
@@ -386,12 +449,23 @@
         if !record.is_held_by(&self.me) && self.leadership.take().is_some() {
             self.log_belief(LEADERSHIP_KEY, version, "no longer this process");
         }
-        self.leadership_record = Some(record);
-        self.leadership_version = version;
+        if version.era() == self.store.era() {
+            self.leadership_row = self.leadership_row.max(version);
+        }
+        self.set_leadership(record, version);
         self.resigning = false;
         self.election.record_heartbeat(now);
     }
 
+    /// Replaces what is known of the leader, and keeps the version of the last one of earlier eras.
+    fn set_leadership(&mut self, record: LeadershipRecord, version: Version) {
+        if self.leadership_version.era() < version.era() {
+            self.former_leadership_version = self.leadership_version;
+        }
+        self.leadership_record = Some(record);
+        self.leadership_version = version;
+    }
+
     /// Replaces a map by a newer one.
     fn apply_map(&mut self, service: Service, map: Map) {
         let current = self.maps.get(&service).map_or(Version::ZERO, |map| map.version);
@@ -421,6 +495,7 @@
             incarnation: self.me.incarnation,
             address: self.shared.settings.peer_listen,
             term: self.leadership_record.as_ref().map_or(0, |record| record.term) + 1,
+            era: Some(self.store.era()),
         };
         self.log_belief(LEADERSHIP_KEY, self.leadership_version, "standing");
         // Serializing a struct of plain fields cannot fail.
@@ -428,7 +503,7 @@
         let write = Write {
             table: Table::Entries,
             key: LEADERSHIP_KEY.into(),
-            expected: self.leadership_version,
+            expected: self.leadership_row,
             value: Some(value),
         };
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
@@ -446,13 +521,16 @@
         // earlier run of this process, which makes it campaign again.
         if let Commit::Committed(version) = commit
             && version >= self.leadership_version
+            && Some(version.era()) == record.era
         {
-            self.leadership_record = Some(record);
-            self.leadership_version = version;
-            if self.leadership.is_none() {
-                self.become_leader(now);
-                self.announce_leadership();
+            self.set_leadership(record, version);
+            self.leadership_row = version;
+            match &mut self.leadership {
+                // The record was written again in a new era.
+                Some(leadership) => leadership.recovery = Recovery::default(),
+                None => self.become_leader(now),
             }
+            self.announce_leadership();
         }
     }
 }
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -11,7 +11,7 @@
         control::{
             feeds::send,
             input::Input,
-            peers::{KeyCount, KeyLoad, LatencyStats, MapVersion, Reply, Report},
+            peers::{KeyCount, KeyLoad, LatencyStats, Reply, Report},
             records::Member,
         },
         shared::Feedback,
@@ -108,8 +108,11 @@
         self.map_read_in_flight = true;
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
-            let rows = store.read(Table::Maps).await.map(|rows| rows.rows).unwrap_or_default();
-            send(&inputs, Input::MapRows { rows, entries: None }).await;
+            let input = match store.read(Table::Maps).await {
+                Ok(rows) => Input::MapRows { rows, entries: None },
+                Err(_) => Input::MapRowsUnavailable,
+            };
+            send(&inputs, input).await;
         });
     }
 
@@ -188,14 +191,14 @@
                 mean_ms: (sum / count).as_millis() as u64,
             })
         });
-        let maps = self
-            .maps
-            .iter()
-            .map(|(service, map)| MapVersion { service: service.clone(), version: map.version });
+        let leader_routing = self.leader_routing;
+        let newer_routing = (leader_routing != Version::ZERO && self.leadership.is_none())
+            .then(|| self.newer_routing(leader_routing));
         Report {
             vm: self.me.vm.clone(),
             routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
-            maps: maps.collect(),
+            newer_routing: newer_routing.flatten(),
+            maps: self.map_versions(),
             wants_targets: self.wants_targets(now),
             load: load.into_iter().map(|(service, keys)| KeyLoad { service, keys }).collect(),
             latencies: latencies.collect(),
@@ -218,6 +221,7 @@
         let Some(reply) = reply else { return };
         let is_leader = self.leadership_record.as_ref().is_some_and(|record| record.vm == *leader);
         if reply.leads && is_leader {
+            self.leader_routing = reply.routing_version;
             self.apply_limits(&reply, now);
             self.election.record_heartbeat(now);
             self.resigning = reply.resigning;
@@ -233,7 +237,7 @@
             self.apply_routing(routing, "from the leader");
         }
         for update in reply.maps {
-            let map = Map { version: update.version, ..update.map };
+            let map = Map { version: self.with_era(update.version), ..update.map };
             self.apply_map(update.service, map);
         }
         // While the store answers here, its rows are newer than the leader's copy.
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -6,13 +6,13 @@
 //! input queue, so no slow target or store delays the others.
 
 use {
-    super::State,
+    super::{State, recovery::Recovery},
     crate::control::{
         feeds::send,
         input::Input,
         orders,
-        peers::{Announcement, MapDelta, NewMap, Reply, Report, VersionedRegistration},
-        records::LEADERSHIP_KEY,
+        peers::{Announcement, MapDelta, Reply, Report, VersionedRegistration},
+        records::{LEADERSHIP_KEY, LeadershipRecord},
     },
     hold::{
         Action, Connections, Instance, Map, Planner, Span, connections,
@@ -21,7 +21,7 @@
     key::{Fence, Service, Version, Vm, clock::Tick},
     platform::{
         order::Connection,
-        store::{Commit, Table, Write},
+        store::{Commit, Rows, Table, Write},
     },
     serde::Serialize,
     smol_str::SmolStr,
@@ -35,7 +35,7 @@
 /// The time for which the leader may renew grants after the store last confirmed its leadership. A
 /// successor waits for this lease to run out before it reassigns keys that the former leader may
 /// still be renewing.
-const LEADERSHIP_LEASE: Duration = Duration::from_secs(15);
+pub(super) const LEADERSHIP_LEASE: Duration = Duration::from_secs(15);
 
 /// The time between two reads by which the leader confirms its leadership.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(2_500);
@@ -44,7 +44,7 @@
 const GRANT_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// The time that an order may still be in flight after its connection was closed.
-const IN_FLIGHT_MARGIN: Duration = Duration::from_millis(400);
+pub(super) const IN_FLIGHT_MARGIN: Duration = Duration::from_millis(400);
 
 /// The time without a newly registered target before keys are assigned for the first time. It lets
 /// the targets of a starting fleet register before the first map is planned.
@@ -68,6 +68,8 @@
     has_read_rows: bool,
     summary_logged_at: Tick,
     pub(super) planners: BTreeMap<Service, Planner>,
+    /// What this process does about changes that the store may have lost.
+    pub(super) recovery: Recovery,
     /// The connections over which targets get grants.
     connections: Connections<Connection>,
     /// When each other entry last reported.
@@ -108,6 +110,13 @@
     outcome: &'a str,
 }
 
+impl Leadership {
+    /// Makes the next read of the rows due at once.
+    pub(super) const fn forget_confirmation(&mut self) {
+        self.confirmation_sent_at = None;
+    }
+}
+
 impl State {
     /// Starts to lead with empty planners, and reads all rows before it orders anything.
     pub(super) fn become_leader(&mut self, now: Tick) {
@@ -120,6 +129,7 @@
             has_read_rows: false,
             summary_logged_at: now,
             planners: BTreeMap::new(),
+            recovery: Recovery::default(),
             connections: Connections::default(),
             last_report_at: HashMap::new(),
             limits: limit::Board::default(),
@@ -140,7 +150,7 @@
     }
 
     /// Returns the peer addresses of all other entries.
-    fn other_entries(&self) -> Vec<SocketAddr> {
+    pub(super) fn other_entries(&self) -> Vec<SocketAddr> {
         let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
         others.map(|(_, member)| member.address).collect()
     }
@@ -148,23 +158,36 @@
     /// Extends the leadership lease after a full read of the rows, sent at `sent_at`, that still
     /// names this process as the leader. The lease counts from the sending of the read, since the
     /// store may have answered at any time after it.
-    pub(super) fn confirm_leadership(&mut self, sent_at: Tick) {
+    ///
+    /// A record of an earlier era proves nothing: the store may have lost that another process
+    /// became the leader. So it is written again, on the condition that nobody else has.
+    pub(super) fn confirm_leadership(&mut self, entries: &Rows, sent_at: Tick, now: Tick) {
         let Some(leadership) = &mut self.leadership else { return };
         leadership.confirmation_sent_at = None;
         if sent_at < leadership.started_at {
             return;
         }
-        leadership.confirmed_at = leadership.confirmed_at.max(sent_at);
+        let row = entries.rows.iter().find(|row| row.key == LEADERSHIP_KEY);
+        let is_confirmed = row.is_some_and(|row| {
+            let record = row.value.as_ref().map(|value| serde_json::from_slice(value));
+            record.and_then(Result::ok).is_some_and(|record: LeadershipRecord| {
+                record.is_held_by(&self.me) && record.version(row.version) == row.version
+            })
+        });
+        if is_confirmed {
+            leadership.confirmed_at = leadership.confirmed_at.max(sent_at);
+        }
         leadership.has_read_rows = true;
         for (service, planner) in &mut leadership.planners {
-            if let Some(map) = self.maps.get(service) {
-                planner.record_row(Map::clone(map));
-            }
+            planner.record_row(self.stored_maps.get(service).cloned());
+        }
+        if !is_confirmed && !self.campaigning {
+            self.campaign(now);
         }
     }
 
     /// Reads the rows of all entries and maps, unless such a read is in flight.
-    fn read_rows(&mut self, now: Tick) {
+    pub(super) fn read_rows(&mut self, now: Tick) {
         const READ_TIMEOUT: Duration = Duration::from_secs(2);
         let Some(leadership) = &mut self.leadership else { return };
         if leadership.confirmation_sent_at.is_some_and(|sent_at| now.since(sent_at) < READ_TIMEOUT)
@@ -175,10 +198,13 @@
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             // After a failed read the next tick past the timeout sends another one.
-            let Ok(entries) = store.read(Table::Entries).await else { return };
+            let Ok(mut entries) = store.read(Table::Entries).await else { return };
             let Ok(maps) = store.read(Table::Maps).await else { return };
-            let entries = Some((entries.rows, now));
-            send(&inputs, Input::MapRows { rows: maps.rows, entries }).await;
+            if maps.version.era() != entries.version.era() {
+                let Ok(rows) = store.read(Table::Entries).await else { return };
+                entries = rows;
+            }
+            send(&inputs, Input::MapRows { rows: maps, entries: Some((entries, now)) }).await;
         });
     }
 
@@ -216,11 +242,11 @@
     }
 
     /// Runs the planners and executes their actions, if this process may issue orders.
-    fn plan(&mut self, now: Tick) {
-        if !self.can_issue_orders(now) {
+    pub(super) fn plan(&mut self, now: Tick) {
+        if !self.can_issue_orders(now) || !self.has_recovered(now) {
             return;
         }
-        self.add_planners(now);
+        self.add_planners();
         let Some(leadership) = &mut self.leadership else { return };
         for instance in leadership.connections.remove_closed(|connection| !connection.is_closed()) {
             leadership
@@ -243,13 +269,13 @@
         }
         for (service, actions) in actions_by_service {
             for action in actions {
-                self.execute(&service, action, now);
+                self.execute(&service, action);
             }
         }
     }
 
     /// Adds a planner for each keyed service that has none.
-    fn add_planners(&mut self, now: Tick) {
+    fn add_planners(&mut self) {
         let Some(routing) = self.routing.clone() else { return };
         let config = planner::Config {
             grant_duration: self.shared.settings.hold.as_duration(),
@@ -262,13 +288,16 @@
         for service in routing.services.iter().filter(|service| service.keyed) {
             leadership.planners.entry(service.name.clone()).or_insert_with(|| {
                 let map = self.maps.get(&service.name).map(|map| Map::clone(map));
-                Planner::new(service.name.clone(), config, map, now)
+                let elected_at = leadership.started_at;
+                let mut planner = Planner::new(service.name.clone(), config, map, elected_at);
+                planner.record_row(self.stored_maps.get(&service.name).cloned());
+                planner
             });
         }
     }
 
     /// Starts an action of a planner; its result comes back as an input.
-    fn execute(&mut self, service: &Service, action: Action, now: Tick) {
+    fn execute(&mut self, service: &Service, action: Action) {
         let service = service.clone();
         match action {
             Action::Grant { instance, address, grants } => {
@@ -282,7 +311,7 @@
                     send(&inputs, Input::ReleaseResult { service, instance, span, result }).await;
                 });
             }
-            Action::Write(map) => self.write_map(service, &map, now),
+            Action::Write(map) => self.write_map(service, &map),
         }
     }
 
@@ -380,11 +409,16 @@
     }
 
     /// Writes a map on the condition that neither it nor the leadership record has changed.
-    fn write_map(&self, service: Service, map: &Map, _now: Tick) {
+    fn write_map(&self, service: Service, map: &Map) {
+        let planner =
+            self.leadership.as_ref().and_then(|leadership| leadership.planners.get(&service));
+        let Some(row_version) = planner.map(Planner::row_version) else { return };
+        let era = self.store.era();
         let writes = [
             Write {
                 table: Table::Entries,
                 key: LEADERSHIP_KEY.into(),
+                // A record of an earlier era is not enough, so the write waits for a new one.
                 expected: self.leadership_version,
                 // Only the version is compared; the row stays.
                 value: None,
@@ -392,14 +426,18 @@
             Write {
                 table: Table::Maps,
                 key: service.as_str().into(),
-                expected: map.version,
-                value: Some(map.to_bytes()),
+                expected: row_version,
+                value: Some(map.to_bytes(era)),
             },
         ];
         self.log_plan(&service, map, "writing");
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
-            let commit = store.commit(&writes).await;
+            let commit = match store.commit(&writes).await {
+                // The row says that it was written in the era before.
+                Commit::Committed(version) if version.era() != era => Commit::Ambiguous,
+                commit => commit,
+            };
             send(&inputs, Input::MapWritten { service, commit }).await;
         });
     }
@@ -485,18 +523,9 @@
         if let Some(leadership) = &mut self.leadership {
             leadership.last_report_at.insert(report.vm.clone(), now);
         }
-        let routing =
-            self.routing.as_deref().filter(|routing| routing.version > report.routing).cloned();
-        let known_version = |service: &Service| {
-            let reported = report.maps.iter().find(|reported| reported.service == *service);
-            reported.map_or(Version::ZERO, |reported| reported.version)
-        };
-        let maps = self.maps.iter().filter(|(service, map)| map.version > known_version(service));
-        let maps = maps.map(|(service, map)| NewMap {
-            service: service.clone(),
-            version: map.version,
-            map: Map::clone(map),
-        });
+        if let Some(routing) = report.newer_routing.clone() {
+            self.apply_routing(routing, "from a report");
+        }
         let targets = (report.wants_targets && !resigning).then(|| {
             let registered = self.registry.targets().filter(|target| target.is_registered());
             registered
@@ -512,8 +541,9 @@
             leads,
             resigning,
             entries: self.entry_count,
-            routing,
-            maps: maps.collect(),
+            routing: self.newer_routing(report.routing),
+            routing_version: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
+            maps: self.maps_newer_than(&report.maps),
             targets,
             crash_reports: self.crash_reports.iter().map(|recent| recent.report).collect(),
             limits,
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -102,5 +102,6 @@
         slots: ASSUMED_SLOTS,
         state: RegistrationState::Ready,
         warmup_remaining_ms: 0,
+        sequence: 0,
     }
 }
--- /dev/null
+++ b/crates/edge/src/control/state/recovery.rs
@@ -0,0 +1,209 @@
+//! What happens when the store comes back from a copy, in a new era.
+//!
+//! The copy lacks the last changes, so the entries know more than the store. Rows carry the era in
+//! which they were written and never replace newer knowledge. A process that wins the leadership in
+//! a new era first asks all entries what they know. If most of them have lived through the return,
+//! that is all there is to know, and the rows are written again from it. If not, targets may hold
+//! keys under grants that no process remembers, and no key is granted until these have run out.
+
+use {
+    super::{
+        State,
+        leading::{IN_FLIGHT_MARGIN, LEADERSHIP_LEASE},
+    },
+    crate::control::{
+        feeds::send,
+        input::Input,
+        peers::{Knowledge, KnowledgeQuery, MapVersion, NewMap},
+        records::LEADERSHIP_KEY,
+    },
+    hold::Map,
+    key::{Era, Service, Version, clock::Tick},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// How far a leader has come in finding out what the store may have lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Recovery {
+    /// Nothing has been looked at.
+    #[default]
+    Unknown,
+    /// The other entries are asked what they know.
+    Collecting,
+    /// Targets may hold keys until that instant under grants that no process remembers.
+    Waiting(Tick),
+    /// The maps are as new as any.
+    Done,
+}
+
+impl State {
+    /// Takes note of a new era of the store.
+    pub(super) fn observe_era(&mut self, now: Tick) {
+        let Some(era) = self.store.known_era() else { return };
+        let first_era = *self.first_era.get_or_insert(era);
+        if era <= self.era.max(first_era) {
+            self.era = self.era.max(first_era);
+            return;
+        }
+        self.era = era;
+        self.log_belief("era", Version::from(era.get()), "the store came back from a copy");
+        self.shared.counters.set("store_era", era.get());
+        self.registry.record_era(era, now);
+        self.dirty = true;
+        self.read_rows_anew(now);
+    }
+
+    /// Reads the rows in the leader, whether or not an earlier read is still unanswered.
+    pub(super) fn read_rows_anew(&mut self, now: Tick) {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.forget_confirmation();
+            self.read_rows(now);
+        }
+    }
+
+    /// Returns true if the leader may order something: no key can be held under a grant that it does
+    /// not know of. If the maps are of an earlier era, it first asks the other entries.
+    pub(super) fn has_recovered(&mut self, now: Tick) -> bool {
+        let era = self.leadership_version.era();
+        let is_keyed = |service: &Service| {
+            let routing = self.routing.as_ref();
+            routing
+                .is_none_or(|routing| routing.service(service).is_some_and(|service| service.keyed))
+        };
+        let is_outdated =
+            self.maps.iter().any(|(service, map)| is_keyed(service) && map.version.era() < era);
+        let Some(leadership) = &mut self.leadership else { return false };
+        match leadership.recovery {
+            Recovery::Done => return true,
+            Recovery::Waiting(until) if now < until => return false,
+            Recovery::Collecting => return false,
+            Recovery::Unknown if is_outdated => {}
+            Recovery::Unknown | Recovery::Waiting(_) => {
+                leadership.recovery = Recovery::Done;
+                return true;
+            }
+        }
+        leadership.recovery = Recovery::Collecting;
+        self.collect_knowledge(era);
+        false
+    }
+
+    /// Asks all other entries what they know.
+    fn collect_knowledge(&self, era: Era) {
+        let query = KnowledgeQuery {
+            era,
+            maps: self.map_versions(),
+            routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
+        };
+        let others: Vec<SocketAddr> = self.other_entries();
+        let (peers, inputs) = (self.peers.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let answers = peers.collect_knowledge(others, &query).await;
+            send(&inputs, Input::KnowledgeCollected { era, answers }).await;
+        });
+    }
+
+    /// Returns what this process knows and the sender of a query does not.
+    pub(super) fn knowledge_for(&self, query: &KnowledgeQuery) -> Knowledge {
+        let is_former = self.leadership_version.era() < query.era;
+        Knowledge {
+            first_era: self.first_era,
+            former_leadership: if is_former {
+                self.leadership_version
+            } else {
+                self.former_leadership_version
+            },
+            maps: self.maps_newer_than(&query.maps),
+            routing: self.newer_routing(query.routing),
+        }
+    }
+
+    /// Returns a version that a peer sent. An earlier release sends the store's number without an
+    /// era, which then is the current one.
+    pub(super) fn with_era(&self, version: Version) -> Version {
+        if version.era() != Era::ZERO {
+            return version;
+        }
+        Version::in_era(self.era, version.number()).unwrap_or(version)
+    }
+
+    /// Returns the versions of all maps.
+    pub(super) fn map_versions(&self) -> Vec<MapVersion> {
+        let versions = self
+            .maps
+            .iter()
+            .map(|(service, map)| MapVersion { service: service.clone(), version: map.version });
+        versions.collect()
+    }
+
+    /// Returns the maps that are newer here than another entry knows them.
+    pub(super) fn maps_newer_than(&self, known: &[MapVersion]) -> Vec<NewMap> {
+        let known_version = |service: &Service| {
+            let reported = known.iter().find(|reported| reported.service == *service);
+            reported.map_or(Version::ZERO, |reported| reported.version)
+        };
+        let newer = self.maps.iter().filter(|(service, map)| map.version > known_version(service));
+        let newer = newer.map(|(service, map)| NewMap {
+            service: service.clone(),
+            version: map.version,
+            map: Map::clone(map),
+        });
+        newer.collect()
+    }
+
+    /// Returns the routing configuration if it is newer than version `known`.
+    pub(super) fn newer_routing(&self, known: Version) -> Option<conf::routing::Routing> {
+        self.routing.as_deref().filter(|routing| routing.version > known).cloned()
+    }
+
+    /// Goes on with what all entries know, or waits until forgotten grants have run out.
+    pub(super) fn handle_knowledge(&mut self, era: Era, answers: Vec<Knowledge>, now: Tick) {
+        let recovery = self.leadership.as_ref().map(|leadership| leadership.recovery);
+        if recovery != Some(Recovery::Collecting) || self.leadership_version.era() != era {
+            return;
+        }
+        // A process that has not answered may still renew grants that nobody here knows.
+        let may_be_renewed = answers.len() + 1 < self.members.len();
+        let has_lived = |first_era: Option<Era>| first_era.is_some_and(|first| first < era);
+        let lived_count = answers.iter().filter(|answer| has_lived(answer.first_era)).count()
+            + usize::from(has_lived(self.first_era));
+        let is_complete = 2 * lived_count > self.members.len();
+        let has_news = self.apply_knowledge(answers);
+        let grant_duration = self.shared.settings.hold.as_duration();
+        let validity = hold::planner::max_grant_validity(grant_duration, IN_FLIGHT_MARGIN);
+        let Some(leadership) = &mut self.leadership else { return };
+        let outcome = if !is_complete {
+            leadership.planners.clear();
+            let lease = if may_be_renewed { LEADERSHIP_LEASE } else { Duration::ZERO };
+            leadership.recovery = Recovery::Waiting(now.plus(lease + validity));
+            "waits for forgotten grants to run out"
+        } else {
+            if has_news {
+                leadership.planners.clear();
+                leadership.started_at = now;
+            }
+            leadership.recovery = Recovery::Done;
+            "continues with what the entries know"
+        };
+        self.log_belief(LEADERSHIP_KEY, self.leadership_version, outcome);
+        self.read_rows(now);
+        self.plan(now);
+    }
+
+    /// Applies what other entries know, and returns true if any of it was news: another process may
+    /// have led after this one, and its grants are not in the planners of this one.
+    fn apply_knowledge(&mut self, answers: Vec<Knowledge>) -> bool {
+        let mut has_news = false;
+        for answer in answers {
+            has_news |= answer.former_leadership > self.former_leadership_version;
+            has_news |= !answer.maps.is_empty();
+            for NewMap { service, version, map } in answer.maps {
+                self.apply_map(service, Map { version, ..map });
+            }
+            if let Some(routing) = answer.routing {
+                self.apply_routing(routing, "from a peer");
+            }
+        }
+        has_news
+    }
+}
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -1,7 +1,7 @@
 //! The assignment map: which target holds which keys of a service, stored as one row.
 
 use {
-    key::{Fence, Version, Vm, Zone},
+    key::{Era, Fence, Version, Vm, Zone},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     thiserror::Error as Derive,
@@ -124,6 +124,17 @@
     }
 }
 
+/// The stored form of a map. A store that has come back from a copy has rows of earlier eras, which
+/// are as old as the copy.
+#[derive(Serialize, Deserialize)]
+struct Row<M = Map> {
+    /// The era in which the row was written; earlier releases state none.
+    #[serde(default)]
+    era: Option<Era>,
+    #[serde(flatten)]
+    map: M,
+}
+
 /// The reason why a row cannot be parsed.
 #[derive(Debug, Derive)]
 pub enum Error {
@@ -159,7 +170,7 @@
 /// The assignment of all keys of a service to targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Map {
-    /// The version of the row; zero before the first write.
+    /// The version that the row got when it was written; zero before the first write.
     #[serde(skip)]
     pub version: Version,
     /// The targets that hold keys.
@@ -177,13 +188,16 @@
         Self { version: Version::ZERO, holders: Vec::new(), assignments: vec![assignment] }
     }
 
-    /// Parses a row.
+    /// Parses a row that the store has with version `row_version`. The version of the map has the
+    /// era in which the row was written, which may be an earlier one.
     ///
     /// # Errors
     ///
     /// Returns an [`Error`] if the row is not a complete map.
-    pub fn parse(bytes: &[u8], version: Version) -> Result<Self, Error> {
-        let mut map: Self = serde_json::from_slice(bytes)?;
+    pub fn parse(bytes: &[u8], row_version: Version) -> Result<Self, Error> {
+        let row: Row = serde_json::from_slice(bytes)?;
+        let version = row.era.map_or(row_version, |era| row_version.of_era(era));
+        let mut map = row.map;
         map.version = version;
         let mut next = 0_u32;
         for assignment in &mut map.assignments {
@@ -201,11 +215,11 @@
         if next == Span::ALL.width() { Ok(map) } else { Err(Error::InvalidAssignments) }
     }
 
-    /// Serializes the map to a row.
+    /// Serializes the map to a row that is written in `era`.
     #[must_use]
-    pub fn to_bytes(&self) -> Vec<u8> {
+    pub fn to_bytes(&self, era: Era) -> Vec<u8> {
         // Serialization to JSON cannot fail here, since every object in a map has string keys.
-        serde_json::to_vec(self).unwrap_or_default()
+        serde_json::to_vec(&Row { era: Some(era), map: self }).unwrap_or_default()
     }
 
     /// Returns the assignment of a key.
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -60,12 +60,19 @@
 }
 
 impl Config {
-    /// Returns the longest time for which a grant can be in force once its outcome is recorded.
     fn max_grant_validity(&self) -> Duration {
-        self.grant_duration.mul_f64(1.0 + MAX_CLOCK_DRIFT) + self.in_flight_margin
+        max_grant_validity(self.grant_duration, self.in_flight_margin)
     }
 }
 
+/// Returns the longest time for which a grant can be in force once its outcome is recorded:
+/// `grant_duration` on the target's clock, which may run slow, after it was in flight for up to
+/// `in_flight_margin`.
+#[must_use]
+pub fn max_grant_validity(grant_duration: Duration, in_flight_margin: Duration) -> Duration {
+    grant_duration.mul_f64(1.0 + MAX_CLOCK_DRIFT) + in_flight_margin
+}
+
 /// One grant to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -162,6 +169,11 @@
     service: Service,
     config: Config,
     map: Map,
+    /// The version that the row has in the store, which a write has to expect. It differs from the
+    /// version of the map if the store has come back from a copy.
+    row_version: Version,
+    /// Whether the row in the store is older than the map, so that it has to be written again.
+    is_row_outdated: bool,
     ledger: Ledger,
     sessions: BTreeMap<Instance, TargetSession>,
     reassignments: Vec<Reassignment>,
@@ -183,12 +195,12 @@
 
 impl Planner {
     /// Creates the planner of a service from the row as it was read after this process became the
-    /// leader.
+    /// leader, which it did at `elected_at`.
     #[must_use]
-    pub fn new(service: Service, config: Config, map: Option<Map>, now: Tick) -> Self {
+    pub fn new(service: Service, config: Config, map: Option<Map>, elected_at: Tick) -> Self {
         let map = map.unwrap_or_else(Map::vacant);
         let mut ledger = Ledger::default();
-        let until = now.plus(config.leadership_lease + config.max_grant_validity());
+        let until = elected_at.plus(config.leadership_lease + config.max_grant_validity());
         for assignment in &map.assignments {
             if let Some(holder) = map.holder(assignment) {
                 ledger.extend(&holder.instance, assignment.span, until);
@@ -198,6 +210,8 @@
             service,
             config,
             fences_renewed: map.version == Version::ZERO,
+            row_version: map.version,
+            is_row_outdated: false,
             map,
             ledger,
             sessions: BTreeMap::new(),
@@ -208,7 +222,7 @@
             unresolved_writes: Vec::new(),
             needs_row: false,
             load: Load::default(),
-            load_decayed_at: now,
+            load_decayed_at: elected_at,
         }
     }
 
@@ -218,6 +232,12 @@
         &self.map
     }
 
+    /// Returns the version that the row must have in the store for a write to take effect.
+    #[must_use]
+    pub const fn row_version(&self) -> Version {
+        self.row_version
+    }
+
     /// Returns the load of the service, so that the caller can record what entries report.
     pub const fn load_mut(&mut self) -> &mut Load {
         &mut self.load
@@ -336,6 +356,8 @@
                     }
                 }
                 map.version = version;
+                self.row_version = version;
+                self.is_row_outdated = false;
                 self.adopt_map(map);
             }
             WriteOutcome::Refused => {}
@@ -346,12 +368,18 @@
         }
     }
 
-    /// Records the row as it was read. A row older than the known one changes nothing.
-    pub fn record_row(&mut self, map: Map) {
+    /// Records the row as it was read, with the version that it has in the store; `None` if there is
+    /// no row. A row that is older than the known map changes nothing. It is written again, and so
+    /// is one of an earlier era, which tells later leaders that it is as new as any.
+    pub fn record_row(&mut self, row: Option<(Map, Version)>) {
         if self.pending_write.is_some() {
             return;
         }
         self.needs_row = false;
+        let (map, row_version) = row.unwrap_or_else(|| (Map::vacant(), Version::ZERO));
+        self.row_version = row_version;
+        self.is_row_outdated =
+            map.version < self.map.version || map.version.era() < row_version.era();
         if map.version > self.map.version {
             self.adopt_map(map);
         }
--- a/crates/hold/src/planner/place.rs
+++ b/crates/hold/src/planner/place.rs
@@ -43,7 +43,7 @@
             changed |= self.assign_orphans(registry, &mut map, now);
         }
         // Any committed write makes the store refuse an unresolved one, since the version differs.
-        let supersedes = !self.unresolved_writes.is_empty();
+        let supersedes = !self.unresolved_writes.is_empty() || self.is_row_outdated;
         if !supersedes && (!changed || map == self.map) {
             return None;
         }
--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -4,12 +4,16 @@
 //! or failed, or the store had an outage and let registrations expire for lack of heartbeats. So a
 //! registration that is missing right after an outage that this process noticed counts as present
 //! for a short grace period.
+//!
+//! A store that comes back from a copy lists targets as they were some time ago. What a target says
+//! of itself is ordered by its start and its sequence number, so a registration of a later era that
+//! is no newer by these does not bring back a target that is leaving or gone.
 
 use {
     crate::map::Instance,
-    key::{Service, Version, Vm, Zone, clock::Tick},
+    key::{Era, Service, Version, Vm, Zone, clock::Tick},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{cmp::Ordering, collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// How long after an outage of the store a missing registration counts as present. Within this time
@@ -50,6 +54,9 @@
     /// How much longer it is slow after its start, in milliseconds.
     #[serde(rename = "cold_ms")]
     pub warmup_remaining_ms: u64,
+    /// Grows with each registration that the instance writes.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 impl Registration {
@@ -87,9 +94,27 @@
     since: Tick,
     /// The end of the grace period, during which an outage of the store counts as the reason.
     grace_until: Tick,
+    /// The era of the store in which it disappeared.
+    era: Era,
 }
 
 impl RegisteredTarget {
+    /// Returns true if a registration that the store has in `era` is of an earlier run of the
+    /// target, or no newer although the target is leaving or was gone before that era began.
+    fn is_copy(&self, registration: &Registration, era: Era) -> bool {
+        if era <= self.version.era() {
+            return false;
+        }
+        let is_over =
+            self.leaving_since.is_some() || self.missing.is_some_and(|missing| missing.era < era);
+        let known = &self.registration;
+        match registration.started_at_ms.cmp(&known.started_at_ms) {
+            Ordering::Less => true,
+            Ordering::Equal => is_over && registration.sequence <= known.sequence,
+            Ordering::Greater => false,
+        }
+    }
+
     /// Returns true if the target was registered when the registry was last read.
     #[must_use]
     pub const fn is_registered(&self) -> bool {
@@ -107,6 +132,8 @@
     available_since: Option<Tick>,
     /// When the registry was first read.
     first_read_at: Option<Tick>,
+    /// The era of the store in which the registry was last read.
+    era: Era,
 }
 
 impl Registry {
@@ -124,7 +151,8 @@
         let is_old = |target: &RegisteredTarget| {
             target.version > version || (target.version == version && target.missing.is_none())
         };
-        if before.is_some_and(is_old) {
+        let is_copy = |target: &RegisteredTarget| target.is_copy(&registration, version.era());
+        if before.is_some_and(|target| is_old(target) || is_copy(target)) {
             return false;
         }
         let is_new = before.is_none_or(|target| {
@@ -157,7 +185,7 @@
         let grace_until = outage_end.map_or(Tick::default(), |end| end.plus(OUTAGE_GRACE_PERIOD));
         match self.targets.get_mut(vm) {
             Some(target) if target.missing.is_none() => {
-                target.missing = Some(Missing { since: removed_at, grace_until });
+                target.missing = Some(Missing { since: removed_at, grace_until, era: self.era });
                 true
             }
             _ => false,
@@ -185,6 +213,15 @@
             && since.is_some_and(|since| now.since(since) >= OUTAGE_GRACE_PERIOD)
     }
 
+    /// Records the era of the store in which the registry is read. A later era counts as the end of
+    /// an outage, however short: the store has lost registrations, and targets write them again.
+    pub fn record_era(&mut self, era: Era, now: Tick) {
+        if era > self.era && self.first_read_at.is_some() {
+            self.available_since = Some(now);
+        }
+        self.era = self.era.max(era);
+    }
+
     /// Records whether the store answered a poll of the registry.
     pub fn record_poll(&mut self, answered: bool, now: Tick) {
         if answered {
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -6,7 +6,7 @@
         planner::{Config, Grant, Outcome, WriteOutcome},
         registry::State,
     },
-    key::{Service, Version, Vm, Zone, clock::Tick},
+    key::{Era, Service, Version, Vm, Zone, clock::Tick},
     smol_str::SmolStr,
     std::time::Duration,
 };
@@ -40,6 +40,7 @@
         slots: 2,
         state,
         warmup_remaining_ms: 0,
+        sequence: 0,
     }
 }
 
@@ -285,7 +286,8 @@
     );
     assert!(!to_former, "{before_read:?}");
     let row = fixture.planner.map().clone();
-    fixture.planner.record_row(row);
+    let version = row.version;
+    fixture.planner.record_row(Some((row, version)));
     let again = fixture.advance(10);
     assert!(again.iter().any(|action| matches!(action, Action::Write(_))), "{again:?}");
 }
@@ -293,7 +295,7 @@
 #[test]
 fn a_new_leader_sends_no_grants_before_its_own_fences_are_written() {
     let first = Fixture::new(2);
-    let bytes = first.planner.map().to_bytes();
+    let bytes = first.planner.map().to_bytes(Era::ZERO);
     let map = Map::parse(&bytes, Version::from(200)).expect("a complete map");
     let mut next = Planner::new(Service::from("keyed"), config(), Some(map), tick_at_ms(9_000));
     let actions = next.next_actions(&first.registry, tick_at_ms(9_000));
@@ -353,7 +355,7 @@
 
 #[test]
 fn rows_that_are_not_a_complete_map_are_rejected() {
-    let whole = Map::vacant().to_bytes();
+    let whole = Map::vacant().to_bytes(Era::ZERO);
     assert!(Map::parse(&whole, Version::from(1)).is_ok());
     let cases: [&[u8]; 5] = [
         b"",
@@ -422,7 +424,7 @@
             map.assign(Span { first, last: first + 100 }, Some(holder));
         }
     }
-    assert!(map.to_bytes().len() < MAX_ROW_BYTES, "{}", map.to_bytes().len());
+    assert!(map.to_bytes(Era::ZERO).len() < MAX_ROW_BYTES, "{}", map.to_bytes(Era::ZERO).len());
 }
 
 #[test]
@@ -556,3 +558,49 @@
     assert_eq!(keys_of(&fixture, &lost), 0);
     assert!(keys_of(&fixture, &limited) <= before, "the limited target got keys");
 }
+
+#[test]
+fn a_row_that_went_back_is_written_again_and_changes_no_holder() {
+    /// Makes the row that the store has from the map that the planner knows.
+    type ToRow = fn(&Map) -> Option<Map>;
+    let version = |era, number| Version::in_era(Era::from(era), number).expect("a small version");
+    let rows: [(&str, ToRow); 3] = [
+        ("the row is lost", |_| None),
+        ("the row is older", |map| {
+            let mut older = map.clone();
+            older.assign(Span::ALL, map.holders.first().cloned());
+            Some(older)
+        }),
+        ("the row is the same", |map| Some(map.clone())),
+    ];
+    for (name, row) in rows {
+        let mut fixture = Fixture::new(3);
+        let before = fixture.planner.map().clone();
+        let number = before.version.number() - u64::from(name == "the row is older");
+        let row_version = version(1, number);
+        let row = row(&before).map(|map| (Map { version: version(0, number), ..map }, row_version));
+        let expected = row.as_ref().map_or(Version::ZERO, |(_, version)| *version);
+        fixture.planner.record_row(row);
+        assert_eq!(fixture.planner.row_version(), expected, "{name}");
+        let actions = fixture.advance(10);
+        let is_write = |action: &Action| *action == Action::Write(before.clone());
+        assert!(actions.iter().any(is_write), "{name}: {actions:?}");
+        let written = version(1, number + 5);
+        fixture.planner.record_write(WriteOutcome::Committed(written));
+        assert_eq!(fixture.planner.row_version(), written, "{name}");
+        assert_eq!(fixture.planner.map().assignments, before.assignments, "{name}");
+        fixture.run_until_settled();
+        assert_eq!(fixture.planner.map().version, written, "{name}: it is written once");
+    }
+}
+
+#[test]
+fn a_map_keeps_the_era_in_which_it_was_written() {
+    let map = Fixture::new(2).planner.map().clone();
+    let row_version = Version::in_era(Era::from(3), 40).expect("a small version");
+    let parse = |bytes: &[u8]| Map::parse(bytes, row_version).expect("a complete row").version;
+    assert_eq!(parse(&map.to_bytes(Era::from(3))), row_version);
+    assert_eq!(parse(&map.to_bytes(Era::from(1))).era(), Era::from(1));
+    let of_earlier_release = serde_json::to_vec(&map).expect("plain fields");
+    assert_eq!(parse(&of_earlier_release), row_version);
+}
--- a/crates/hold/tests/registry.rs
+++ b/crates/hold/tests/registry.rs
@@ -5,7 +5,7 @@
         Registration, Registry,
         registry::{Availability, State},
     },
-    key::{Service, Version, Vm, Zone, clock::Tick},
+    key::{Era, Service, Version, Vm, Zone, clock::Tick},
 };
 
 enum Event {
@@ -39,6 +39,7 @@
         slots: 2,
         state,
         warmup_remaining_ms: 0,
+        sequence: 0,
     }
 }
 
@@ -215,3 +216,114 @@
     registry.remove_if(|registration| registration.service.as_str() == "unknown");
     assert!(!registry.has_ended(&instance, address));
 }
+
+#[test]
+fn a_copy_of_the_list_brings_back_no_target_that_left() {
+    /// What the registry showed: the era, the time in milliseconds, and a registration (state,
+    /// start, sequence) or its removal.
+    type Shown = (u64, u64, Option<(State, u64, u64)>);
+    struct CopyCase {
+        name: &'static str,
+        shown: Vec<Shown>,
+        is_ready: bool,
+        started_at_ms: u64,
+    }
+    const ASKED_AT_MS: u64 = 20_000;
+    let (ready, leaving) = (State::Ready, State::Leaving);
+    let cases = [
+        CopyCase {
+            name: "a target that left is listed as ready",
+            shown: vec![
+                (1, 1_000, Some((ready, 1, 4))),
+                (1, 2_000, Some((leaving, 1, 9))),
+                (2, 5_000, Some((ready, 1, 4))),
+            ],
+            is_ready: false,
+            started_at_ms: 1,
+        },
+        CopyCase {
+            name: "it says itself that it is ready again",
+            shown: vec![
+                (1, 1_000, Some((ready, 1, 4))),
+                (1, 2_000, Some((leaving, 1, 9))),
+                (2, 5_000, Some((ready, 1, 10))),
+            ],
+            is_ready: true,
+            started_at_ms: 1,
+        },
+        CopyCase {
+            name: "a target that was removed is listed again",
+            shown: vec![
+                (1, 1_000, Some((ready, 1, 4))),
+                (1, 2_000, None),
+                (2, 5_000, Some((ready, 1, 4))),
+            ],
+            is_ready: false,
+            started_at_ms: 1,
+        },
+        CopyCase {
+            name: "a target that the copy lacks registers again",
+            shown: vec![
+                (1, 1_000, Some((ready, 1, 4))),
+                (2, 5_000, None),
+                (2, 5_500, Some((ready, 1, 4))),
+            ],
+            is_ready: true,
+            started_at_ms: 1,
+        },
+        CopyCase {
+            name: "a target that the copy lacks does not register again",
+            shown: vec![(1, 1_000, Some((ready, 1, 4))), (2, 5_000, None)],
+            is_ready: false,
+            started_at_ms: 1,
+        },
+        CopyCase {
+            name: "an earlier run of a target is listed again",
+            shown: vec![
+                (1, 1_000, Some((ready, 1, 4))),
+                (1, 2_000, Some((ready, 7, 1))),
+                (2, 5_000, Some((ready, 1, 4))),
+            ],
+            is_ready: true,
+            started_at_ms: 7,
+        },
+    ];
+    let vm = Vm::from("t");
+    for case in cases {
+        let mut registry = Registry::default();
+        for (index, (era, at_ms, shown)) in case.shown.iter().enumerate() {
+            let now = tick_at_ms(*at_ms);
+            registry.record_poll(true, now);
+            registry.record_era(Era::from(*era), now);
+            let number = index as u64 + 1;
+            let version = Version::in_era(Era::from(*era), number).expect("a small version");
+            match shown {
+                Some((state, started_at_ms, sequence)) => {
+                    let sequence = *sequence;
+                    let shown = Registration { sequence, ..registration(*state, *started_at_ms) };
+                    registry.register(shown, version, now);
+                }
+                None => {
+                    registry.remove(&vm, now);
+                }
+            }
+        }
+        let target = registry.get(&vm).expect("a known target");
+        let availability = registry.availability(target, tick_at_ms(ASKED_AT_MS));
+        assert_eq!(availability == Availability::Ready, case.is_ready, "{}", case.name);
+        assert_eq!(target.registration.started_at_ms, case.started_at_ms, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_target_that_a_copy_lacks_keeps_its_requests_for_the_grace_period() {
+    let mut registry = Registry::default();
+    registry.record_poll(true, tick_at_ms(0));
+    registry.record_era(Era::from(1), tick_at_ms(0));
+    registry.register(registration(State::Ready, 1), Version::from(3), tick_at_ms(0));
+    registry.record_era(Era::from(2), tick_at_ms(5_000));
+    registry.retain(|_| false, tick_at_ms(5_000));
+    let target = registry.get(&Vm::from("t")).expect("a known target");
+    assert_eq!(registry.availability(target, tick_at_ms(6_900)), Availability::Ready);
+    assert!(registry.availability(target, tick_at_ms(7_100)) != Availability::Ready);
+}
--- a/crates/hold/tests/sim/mod.rs
+++ b/crates/hold/tests/sim/mod.rs
@@ -9,7 +9,7 @@
         planner::{Config, Grant, Outcome, WriteOutcome},
         registry::State,
     },
-    key::{Service, Version, Vm, Zone, clock::Tick},
+    key::{Era, Service, Version, Vm, Zone, clock::Tick},
     rand::{Rng, SeedableRng, rngs::StdRng},
     smol_str::SmolStr,
     std::{collections::BTreeMap, time::Duration},
@@ -314,6 +314,7 @@
             slots: 2,
             state: State::Ready,
             warmup_remaining_ms: 0,
+            sequence: 0,
         };
         // A heartbeat alone does not change the registration.
         let target = self.registry.get(&registration.vm);
@@ -565,7 +566,7 @@
         let mut result = WriteOutcome::Unknown;
         if is_current {
             self.version += 1;
-            self.row = Some((map.to_bytes(), self.version));
+            self.row = Some((map.to_bytes(Era::ZERO), self.version));
             result = WriteOutcome::Committed(Version::from(self.version));
         }
         if is_answered {
@@ -580,7 +581,7 @@
         }
         if let Some((bytes, version)) = &self.row {
             let map = Map::parse(bytes, Version::from(*version)).expect("a complete row");
-            leader.planner.record_row(map);
+            leader.planner.record_row(Some((map, Version::from(*version))));
         }
     }
 
--- a/crates/key/src/id.rs
+++ b/crates/key/src/id.rs
@@ -75,13 +75,62 @@
 );
 integer_newtype!(
     /// The version of a row in the platform's table; zero means that the row is absent.
+    ///
+    /// A store that comes back from a copy gives versions out again. Such a store states its
+    /// [`Era`], and its versions contain it in front of the number that the store counts, so that a
+    /// version of a later era is higher than all of an earlier one.
     Version, u64
 );
+integer_newtype!(
+    /// How often the platform's store has come back from a copy.
+    Era, u64
+);
 integer_newtype!(
     /// A random number that a process draws at its start, to distinguish a restart from a pause.
     Incarnation, u64
 );
 
+/// The distance between the first versions of two eras. It is a power of ten, so that both parts can
+/// be read in a log.
+const VERSIONS_PER_ERA: u64 = 1_000_000_000_000;
+
+/// The number of eras that fit into a version. Versions stay below 2^53, since a fencing token is
+/// one and JSON numbers are exact up to there.
+const MAX_ERAS: u64 = 9_000;
+
+impl Version {
+    /// Returns the version that the store counts as `number` in `era`, or `None` if either is too
+    /// large. An absent row has version zero in every era.
+    #[must_use]
+    pub const fn in_era(era: Era, number: u64) -> Option<Self> {
+        if era.0 >= MAX_ERAS || number >= VERSIONS_PER_ERA {
+            return None;
+        }
+        Some(if number == 0 { Self::ZERO } else { Self(era.0 * VERSIONS_PER_ERA + number) })
+    }
+
+    /// Returns the version with the same number in `era`, or in its own era if that is earlier.
+    #[must_use]
+    pub const fn of_era(self, era: Era) -> Self {
+        if era.0 >= self.era().0 {
+            return self;
+        }
+        Self(era.0 * VERSIONS_PER_ERA + self.number())
+    }
+
+    /// Returns the era.
+    #[must_use]
+    pub const fn era(self) -> Era {
+        Era(self.0 / VERSIONS_PER_ERA)
+    }
+
+    /// Returns the number that the store counts.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0 % VERSIONS_PER_ERA
+    }
+}
+
 name_newtype!(
     /// The name of a service in the configuration.
     Service
--- a/crates/key/src/lib.rs
+++ b/crates/key/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use crate::{
     hash::{Digest, rendezvous_weight, shard_of},
-    id::{Fence, Incarnation, Process, Service, Shard, Stamp, Term, Version, Vm, Zone},
+    id::{Era, Fence, Incarnation, Process, Service, Shard, Stamp, Term, Version, Vm, Zone},
 };
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Error, ErrorKind},
     bytes::Bytes,
-    http::{Method, Request, StatusCode, header},
+    http::{Method, Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
     hyper_util::{
         client::legacy::{self, connect::HttpConnector},
@@ -156,6 +156,27 @@
         path: &str,
         body: Bytes,
     ) -> Result<Bytes, Error> {
+        let response = self.exchange(method, address, path, body).await?;
+        let status = response.status();
+        if status == StatusCode::OK {
+            return Ok(response.into_body());
+        }
+        let message = String::from_utf8_lossy(response.body()).into_owned();
+        Err(Error::new(ErrorKind::Status(status.as_u16()), Some(address), message))
+    }
+
+    /// Sends a request with a raw body and returns the whole response, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] whose kind tells whether the server may have run the request.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Bytes>, Error> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -173,23 +194,17 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<Response<Bytes>, Error> {
         let response = self.inner.request(request).await.map_err(|error| {
             let kind = if error.is_connect() { ErrorKind::Unsent } else { ErrorKind::Ambiguous };
             Error::new(kind, Some(address), error)
         })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.config.max_response_bytes);
-        let body = body
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, self.config.max_response_bytes)
             .collect()
             .await
-            .map_err(|error| Error::new(ErrorKind::Ambiguous, Some(address), error))?
-            .to_bytes();
-        if status == StatusCode::OK {
-            return Ok(body);
-        }
-        let message = String::from_utf8_lossy(&body);
-        Err(Error::new(ErrorKind::Status(status.as_u16()), Some(address), message))
+            .map_err(|error| Error::new(ErrorKind::Ambiguous, Some(address), error))?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
     }
 }
 
