End responses that never end at the deadline of their request

A target that sends a body without end, in chunks or up to the end of its connection, made an entry gather it until the deadline: with eight requests at once it grew by 221 MB in a second, where a target sends 96 MB a connection. A body whose stated length is too large to arrive in time held its caller and its connection as long as the target pleased.

Cause: a body of unknown length was buffered whatever its size, and a body that is passed on as it arrives had no deadline.

Why this works: up to 256 KB of a body without a length are buffered; what is longer is passed on. At the deadline a body that has not ended closes its connection to the target, also while the caller does not read, and the caller's connection breaks off without the end of the body. A caller of HTTP/1.0, to whom that would look complete, gets an error instead. The body of a denial is read up to 16 KB. Heads without end, headers and interim responses were bounded before.

Evidence: trial::endless failed before (Chunked: an entry grew by 221384 KB) and passes for seven kinds of bytes without end.

--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -98,6 +98,17 @@
         lock(&self.limits)
     }
 
+    /// Logs that the body of a response did not end before the deadline of its request.
+    pub(crate) fn log_late_body(&self, target: &Instance, id: &str) {
+        #[derive(Serialize)]
+        struct LateBodyLine<'a> {
+            id: &'a str,
+            target: &'a str,
+        }
+        self.counters.count("bodies", "late");
+        self.journal.log("late_body", &LateBodyLine { id, target: target.vm.as_str() });
+    }
+
     /// Logs that the coordinator of a target did not answer a request for a permit.
     pub(crate) fn log_permit_failure(
         &self,
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -4,13 +4,14 @@
     crate::{
         shared::Shared,
         traffic::{
-            body::Body,
+            body::{Body, Stream},
             target::{ConnectError, Connection, Target},
         },
     },
     bytes::{Bytes, BytesMut},
     http::{
-        HeaderMap, HeaderName, Request, Response, StatusCode, header as standard, request::Parts,
+        HeaderMap, HeaderName, Request, Response, StatusCode, Version, header as standard,
+        request::Parts,
     },
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
@@ -35,10 +36,17 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// The largest response body that is buffered before it is passed on, in bytes. If a buffered one
-/// breaks off, another attempt can replace it. A body of unknown length is always buffered.
+/// The largest response body of known length that is buffered before it is passed on, in bytes. If a
+/// buffered one breaks off, another attempt can replace it.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 1 << 20;
 
+/// The size up to which a response body of unknown length is buffered, in bytes; a longer one may
+/// have no end.
+const MAX_BUFFERED_UNSIZED_BYTES: usize = 256 << 10;
+
+/// The largest body of a denial for which its connection is kept, in bytes.
+const MAX_DENIAL_BYTES: usize = 16 << 10;
+
 /// The result of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
@@ -90,7 +98,7 @@
 }
 
 /// Makes one attempt: sends the request to a target and receives the response.
-pub(crate) async fn send(shared: &Shared, call: &Call, target: &Arc<Target>) -> AttemptResult {
+pub(crate) async fn send(shared: &Arc<Shared>, call: &Call, target: &Arc<Target>) -> AttemptResult {
     let _in_flight = InFlightGuard::new(target);
     let mut connection = match target.connect(call.at_most_once).await {
         Ok(connection) => connection,
@@ -124,7 +132,7 @@
 
 /// Checks that a response belongs to the request, and reads its body or passes it on.
 async fn receive(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     call: &Call,
     connection: Connection,
     response: Response<Incoming>,
@@ -150,20 +158,42 @@
     }
     let (mut parts, incoming) = response.into_parts();
     remove_hop_by_hop(&mut parts.headers);
-    if incoming.size_hint().lower() > MAX_BUFFERED_RESPONSE_BYTES {
-        let body = Body::Streamed(incoming, Some(Box::new(connection)));
-        return AttemptResult::Answered(Box::new(Response::from_parts(parts, body)));
-    }
-    match time::timeout(call.remaining(), read_body(incoming)).await {
-        Ok(Ok(bytes)) => {
+    let answer = |body| AttemptResult::Answered(Box::new(Response::from_parts(parts, body)));
+    let stream = |prefix, incoming, connection: Connection| {
+        let (shared, instance) = (Arc::clone(shared), connection.target.instance.clone());
+        let id = header::request_id(&call.parts.headers).unwrap_or_default().to_owned();
+        let on_late = move || shared.log_late_body(&instance, &id);
+        Body::Streamed(Box::new(Stream::new(prefix, incoming, connection, call.deadline, on_late)))
+    };
+    let max_bytes = match incoming.size_hint().exact() {
+        Some(size) if size > MAX_BUFFERED_RESPONSE_BYTES => {
+            return answer(stream(Bytes::new(), incoming, connection));
+        }
+        Some(size) => size as usize,
+        None => MAX_BUFFERED_UNSIZED_BYTES,
+    };
+    match time::timeout(call.remaining(), read_body(incoming, max_bytes)).await {
+        Ok(Ok(ReadBody::Whole(bytes))) => {
             connection.release();
-            AttemptResult::Answered(Box::new(Response::from_parts(parts, Body::Buffered(bytes))))
+            answer(Body::Buffered(bytes))
+        }
+        // To a caller of HTTP/1.0, a body of unknown length that breaks off looks complete.
+        Ok(Ok(ReadBody::Longer(..))) if call.parts.version < Version::HTTP_11 => {
+            AttemptResult::Broken
         }
+        Ok(Ok(ReadBody::Longer(prefix, incoming))) => answer(stream(prefix, incoming, connection)),
         Ok(Err(_)) => AttemptResult::Broken,
         Err(_) => AttemptResult::Late,
     }
 }
 
+/// A body, or the beginning of one.
+enum ReadBody {
+    Whole(Bytes),
+    /// What was read of a body that is longer than the limit, and the rest.
+    Longer(Bytes, Incoming),
+}
+
 /// Records the rate limit that an answer names, or that it names none.
 fn record_limit(shared: &Shared, target: &Target, headers: &HeaderMap, sent_at: Tick) {
     let rate = header::rate_limit(headers);
@@ -173,20 +203,26 @@
     }
 }
 
-async fn read_body(mut incoming: Incoming) -> Result<Bytes, hyper::Error> {
-    let mut buffer = BytesMut::with_capacity(incoming.size_hint().lower() as usize);
+/// Reads a body up to its end, or until it is longer than `max_bytes`.
+async fn read_body(mut incoming: Incoming, max_bytes: usize) -> Result<ReadBody, hyper::Error> {
+    let expected_bytes = incoming.size_hint().lower().min(max_bytes as u64);
+    let mut buffer = BytesMut::with_capacity(expected_bytes as usize);
     while let Some(frame) = incoming.frame().await {
         if let Ok(data) = frame?.into_data() {
             buffer.extend_from_slice(&data);
         }
+        if buffer.len() > max_bytes {
+            return Ok(ReadBody::Longer(buffer.freeze(), incoming));
+        }
     }
-    Ok(buffer.freeze())
+    Ok(ReadBody::Whole(buffer.freeze()))
 }
 
 /// Reads the short body of a denial so that the connection can be reused.
 async fn drain_body(incoming: Incoming, connection: Connection) {
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(20);
-    if let Ok(Ok(_)) = time::timeout(DRAIN_TIMEOUT, read_body(incoming)).await {
+    let body = time::timeout(DRAIN_TIMEOUT, read_body(incoming, MAX_DENIAL_BYTES)).await;
+    if let Ok(Ok(ReadBody::Whole(_))) = body {
         connection.release();
     }
 }
--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -192,7 +192,7 @@
 }
 
 /// Counts an admitted request, makes its attempts, and returns the response or refusal.
-async fn serve(shared: &Shared, admitted: &AdmittedRequest) -> Response<Body> {
+async fn serve(shared: &Arc<Shared>, admitted: &AdmittedRequest) -> Response<Body> {
     {
         let mut budgets = shared.budgets();
         let window = || Window::new(shared.settings.retries.window.as_duration());
@@ -234,7 +234,7 @@
 
 /// The attempts at one request, and what they have shown so far.
 struct Attempts<'a> {
-    shared: &'a Shared,
+    shared: &'a Arc<Shared>,
     admitted: &'a AdmittedRequest,
     /// The number of attempts in which anything was sent.
     sent: u32,
@@ -247,7 +247,7 @@
 }
 
 impl<'a> Attempts<'a> {
-    const fn new(shared: &'a Shared, admitted: &'a AdmittedRequest) -> Self {
+    const fn new(shared: &'a Arc<Shared>, admitted: &'a AdmittedRequest) -> Self {
         Self { shared, admitted, sent: 0, may_have_run: false, tried: Vec::new(), due_in: None }
     }
 
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -16,7 +16,11 @@
         time::{Duration, Instant},
     },
     thiserror::Error as Derive,
-    tokio::{net::TcpSocket, task::JoinHandle, time},
+    tokio::{
+        net::TcpSocket,
+        task::{AbortHandle, JoinHandle},
+        time,
+    },
 };
 
 /// The time that opening a connection may take.
@@ -320,6 +324,11 @@
         &mut self.channel.sender
     }
 
+    /// Returns the handle with which the connection can be closed at any time.
+    pub(crate) fn abort_handle(&self) -> AbortHandle {
+        self.channel.driver.abort_handle()
+    }
+
     /// Returns the connection to the pool, unless it has closed.
     pub(crate) fn release(self) {
         let Self { target, channel } = self;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod caller;
 pub mod check;
+pub mod endless;
 pub mod holder;
 pub mod journal;
 pub mod load;
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -304,6 +304,12 @@
             .code()
     }
 
+    /// Returns the resident memory of an entry, in kilobytes; zero if it is not running.
+    #[must_use]
+    pub fn entry_memory_kb(&self, index: usize) -> u64 {
+        self.entries[index].process.as_ref().map_or(0, Process::memory_kb)
+    }
+
     /// Suspends an entry with SIGSTOP, or resumes it.
     pub fn set_entry_paused(&self, index: usize, paused: bool) {
         if let Some(process) = &self.entries[index].process {
