Bound what targets may answer to control traffic

An entry of the product's own conventions accepted up to 64 MB from a target that answers a grant or a probe, which would all be gathered within the timeout. A target has little to say there: 64 KB now end the call. wire::client::a_target_that_answers_without_end_is_cut_off covers body, stated length, failure and head; it needs the new limit to compile, so it was not run before.

--- a/crates/entry/src/control/target.rs
+++ b/crates/entry/src/control/target.rs
@@ -13,7 +13,7 @@
 
 pub(crate) fn client(settings: &Settings) -> wire::Client {
     let timeout = Duration::from_millis(settings.control.target_timeout_ms.get());
-    wire::Config::default().timeout(timeout).source(settings.source).build()
+    wire::Config::default().timeout(timeout).source(settings.source).for_targets().build()
 }
 
 /// Sends a grant to a target and passes its reply, or its failure to reply, to the control thread.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -105,6 +105,7 @@
             .build(),
         probe: wire::Config::default()
             .timeout(PROBE_TIMEOUT)
+            .for_targets()
             .source(shared.settings.source)
             .build(),
     }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -20,6 +20,9 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_MAX_RESPONSE_BYTES: usize = 64 << 20;
+
+/// The maximum size of a target's response to control traffic, in bytes.
+const MAX_TARGET_RESPONSE_BYTES: usize = 64 << 10;
 const MAX_IDLE_CONNECTIONS_PER_HOST: usize = 2;
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -81,6 +84,12 @@
         self
     }
 
+    /// Limits response bodies to what a target has to say, which may send without end.
+    #[must_use]
+    pub const fn for_targets(self) -> Self {
+        self.max_response_bytes(MAX_TARGET_RESPONSE_BYTES)
+    }
+
     /// Builds the client.
     #[must_use]
     pub fn build(self) -> Client {
--- /dev/null
+++ b/crates/wire/tests/client.rs
@@ -0,0 +1,67 @@
+//! Tests of the client against servers that misbehave.
+
+use {
+    bytes::Bytes,
+    http::Method,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        time::Instant,
+    },
+    wire::ErrorKind,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The bytes that the server would send if its caller read on.
+const SENT_BYTES: usize = 32 << 20;
+
+/// Starts a server that answers with `head` and then many bytes, and returns how many it has sent
+/// when its caller closes.
+async fn serve_endless(head: &'static str) -> (SocketAddr, tokio::task::JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let sent_bytes = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 4_096];
+        let length = stream.read(&mut request).await.expect("a request");
+        assert!(length > 0, "the request is empty");
+        stream.write_all(head.as_bytes()).await.expect("the head is sent");
+        let chunk = vec![b'1'; 16 << 10];
+        let mut sent_bytes = 0;
+        while sent_bytes < SENT_BYTES && stream.write_all(&chunk).await.is_ok() {
+            sent_bytes += chunk.len();
+        }
+        sent_bytes
+    });
+    (address, sent_bytes)
+}
+
+#[tokio::test]
+async fn a_target_that_answers_without_end_is_cut_off() {
+    struct Case {
+        name: &'static str,
+        head: &'static str,
+    }
+    let cases = [
+        Case { name: "a body", head: "HTTP/1.1 200 OK\r\n\r\n" },
+        Case {
+            name: "a body of a stated length",
+            head: "HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n",
+        },
+        Case { name: "a failure", head: "HTTP/1.1 500 Failed\r\n\r\n" },
+        Case { name: "a header", head: "HTTP/1.1 200 OK\r\nx-long: " },
+    ];
+    for case in cases {
+        let (address, sent_bytes) = serve_endless(case.head).await;
+        let client = wire::Config::default().timeout(TIMEOUT).for_targets().build();
+        let sent_at = Instant::now();
+        let result = client.send(Method::GET, address, "/", Bytes::new()).await;
+        let error = result.expect_err(case.name);
+        assert_eq!(*error.kind(), ErrorKind::Ambiguous, "{}", case.name);
+        assert!(sent_at.elapsed() < TIMEOUT, "{}: only the timeout ended it", case.name);
+        let sent_bytes = sent_bytes.await.expect("the server ends");
+        assert!(sent_bytes < SENT_BYTES, "{}: the client read everything", case.name);
+    }
+}
