Split spans of keys only while their row has room

Cause: each part that is moved leaves more spans, and nothing bounds their number. It is older than the limits, which make it grow faster, and the era in each fence made an assignment ten bytes longer.

Why this works: balancing splits no more spans than the row has room for, and leaves some for reassignments that cannot wait. A fence of the row's own era is stored without the era.

What remains: a full row is balanced no more until spans of one holder that lie side by side merge.

--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -7,6 +7,16 @@
     thiserror::Error as Derive,
 };
 
+/// The size of a row up to which spans are split, in bytes. The platform's store accepts 65,536; the
+/// rest is left to reassignments that cannot wait, such as those of a lost target.
+const MAX_ROW_BYTES: usize = 60_000;
+
+/// The size that one holder takes in a row at most, in bytes.
+const HOLDER_BYTES: usize = 72;
+
+/// The size that one assignment takes in a row, in bytes, with a fence of nine digits.
+const ASSIGNMENT_BYTES: usize = 29;
+
 /// A contiguous range of keys, both ends inclusive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Span {
@@ -127,12 +137,28 @@
 /// The stored form of a map. A store that has come back from a copy has rows of earlier eras, which
 /// are as old as the copy.
 #[derive(Serialize, Deserialize)]
-struct Row<M = Map> {
+struct Row {
     /// The era in which the row was written; earlier releases state none.
     #[serde(default)]
     era: Option<Era>,
     #[serde(flatten)]
-    map: M,
+    map: Map,
+}
+
+/// Returns the stored form of a fence: without the era if it is that of the row, which saves a third
+/// of the row.
+fn shorten_fence(fence: Fence, era: Era) -> Fence {
+    let version = Version::from(fence.get());
+    if version.era() == era { Fence::from(version.number()) } else { fence }
+}
+
+/// Returns the fence of a stored form.
+fn expand_fence(fence: Fence, era: Era) -> Fence {
+    let version = Version::from(fence.get());
+    if version.era() != Era::ZERO {
+        return fence;
+    }
+    Version::in_era(era, version.number()).map_or(fence, |version| Fence::from(version.get()))
 }
 
 /// The reason why a row cannot be parsed.
@@ -198,6 +224,7 @@
         let row: Row = serde_json::from_slice(bytes)?;
         let version = row.era.map_or(row_version, |era| row_version.of_era(era));
         let mut map = row.map;
+        let era = row.era.unwrap_or_default();
         map.version = version;
         let mut next = 0_u32;
         for assignment in &mut map.assignments {
@@ -208,9 +235,10 @@
                 return Err(Error::InvalidAssignments);
             }
             next = u32::from(last) + 1;
-            if assignment.fence == Fence::ZERO {
-                assignment.fence = Fence::from(version.get());
-            }
+            assignment.fence = match assignment.fence {
+                Fence::ZERO => Fence::from(version.get()),
+                fence => expand_fence(fence, era),
+            };
         }
         if next == Span::ALL.width() { Ok(map) } else { Err(Error::InvalidAssignments) }
     }
@@ -218,8 +246,21 @@
     /// Serializes the map to a row that is written in `era`.
     #[must_use]
     pub fn to_bytes(&self, era: Era) -> Vec<u8> {
+        let mut map = self.clone();
+        for assignment in &mut map.assignments {
+            assignment.fence = shorten_fence(assignment.fence, era);
+        }
         // Serialization to JSON cannot fail here, since every object in a map has string keys.
-        serde_json::to_vec(&Row { era: Some(era), map: self }).unwrap_or_default()
+        serde_json::to_vec(&Row { era: Some(era), map }).unwrap_or_default()
+    }
+
+    /// Returns how many spans can be split before the row would be larger than the store accepts.
+    #[must_use]
+    pub fn room_for_splits(&self) -> usize {
+        let row_bytes =
+            HOLDER_BYTES * self.holders.len() + ASSIGNMENT_BYTES * self.assignments.len();
+        // A split in the middle makes two more assignments, and the recipient may be a new holder.
+        MAX_ROW_BYTES.saturating_sub(row_bytes) / (HOLDER_BYTES + 2 * ASSIGNMENT_BYTES)
     }
 
     /// Returns the assignment of a key.
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -6,7 +6,7 @@
         planner::{Config, Grant, Outcome, WriteOutcome},
         registry::State,
     },
-    key::{Era, Service, Version, Vm, Zone, clock::Tick},
+    key::{Era, Fence, Service, Version, Vm, Zone, clock::Tick},
     smol_str::SmolStr,
     std::time::Duration,
 };
@@ -604,3 +604,45 @@
     let of_earlier_release = serde_json::to_vec(&map).expect("plain fields");
     assert_eq!(parse(&of_earlier_release), row_version);
 }
+
+#[test]
+fn spans_are_split_only_while_the_row_has_room() {
+    const MAX_ROW_BYTES: usize = 65_536;
+    const TARGETS: u8 = 200;
+    const ROUNDS: u16 = 150;
+    let mut fixture = Fixture::new(TARGETS);
+    let era = Era::from(1);
+    fixture.version = Version::in_era(era, 900_000_000).expect("a small version").get();
+    for round in 0..ROUNDS {
+        // Hot keys wander through all spans, so that each round splits more of them.
+        for key in 0..64_u16 {
+            let key = key.wrapping_mul(1_021).wrapping_add(round.wrapping_mul(163));
+            fixture.planner.load_mut().record_requests(key, 40);
+        }
+        let actions = fixture.advance(SETTLE_INTERVAL_MS);
+        fixture.carry_out(actions);
+        fixture.run_until_settled();
+    }
+    let map = fixture.planner.map();
+    assert!(map.assignments.len() > 1_000, "{} spans", map.assignments.len());
+    let row_bytes = map.to_bytes(era).len();
+    assert!(row_bytes < MAX_ROW_BYTES, "{row_bytes} bytes, {} spans", map.assignments.len());
+}
+
+#[test]
+fn fences_of_every_era_outlive_a_row() {
+    let version = |era, number| Version::in_era(Era::from(era), number).expect("a small version");
+    let mut map = Fixture::new(3).planner.map().clone();
+    let fences = [version(0, 7), version(1, 7), version(2, 9), version(2, 12)];
+    for (assignment, fence) in map.assignments.iter_mut().zip(fences) {
+        assignment.fence = Fence::from(fence.get());
+    }
+    for era in [1, 2] {
+        let row = map.to_bytes(Era::from(era));
+        let parsed = Map::parse(&row, version(2, 20)).expect("a complete row");
+        let pairs = map.assignments.iter().zip(&parsed.assignments).take(fences.len());
+        for (before, after) in pairs.skip(1) {
+            assert_eq!(before.fence, after.fence, "written in era {era}");
+        }
+    }
+}
