Refuse a table that has gone back, under the product's own conventions

Versions and fencing tokens of crates own and entry rest on a table that never goes back, as the platform's store now may. Their interface states no era, so the design of hold and edge cannot cover them. A scan that shows an earlier revision than the last one is an error now: its rows are not used, the log says so once, and leases are renewed as in any outage of the table.

Evidence: standin::platform::a_table_that_went_back_is_refused; the error kind is new, so the test was not run before.

--- a/crates/entry/src/control/table.rs
+++ b/crates/entry/src/control/table.rs
@@ -6,7 +6,7 @@
     key::clock::Tick,
     own::{Event, Write},
     std::time::Duration,
-    store::{Client, Config},
+    store::{Client, Config, ErrorKind},
     tokio::time,
 };
 
@@ -24,14 +24,21 @@
 /// Polls the table for changed rows until the process ends.
 pub(crate) async fn poll(client: Client, inputs: InputSender, control: Control) {
     let mut revision = 0;
+    let mut has_gone_back = false;
     loop {
         let started_at = Tick::now();
         match client.scan(CONTROL_PREFIX, revision).await {
             Ok(scan) => {
-                revision = scan.revision;
+                (revision, has_gone_back) = (scan.revision, false);
                 inputs.send(Input::TablePolled { started_at, rows: scan.rows }).await;
             }
-            Err(_) => inputs.send(Input::TablePollFailed).await,
+            Err(error) => {
+                if error.kind() == ErrorKind::WentBack && !has_gone_back {
+                    has_gone_back = true;
+                    log::error!("{error} than {revision}; its rows are not used");
+                }
+                inputs.send(Input::TablePollFailed).await;
+            }
         }
         time::sleep(Duration::from_millis(control.poll_ms.get())).await;
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -178,6 +178,13 @@
         wire::json(StatusCode::OK, &())
     }
 
+    /// Forgets every row and starts to count revisions anew.
+    pub fn forget(&self) {
+        let mut state = self.state();
+        state.rows.clear();
+        state.revision = 0;
+    }
+
     /// Adds VMs to the list, or replaces those that are on it.
     pub fn update_vms(&self, vms: Vec<VmRecord>) {
         let mut state = self.state();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -183,3 +183,18 @@
         client.put_object("decisions/2", Vec::new()).await.expect_err("the platform is down");
     assert_eq!(refused.kind(), ErrorKind::Refused);
 }
+
+#[tokio::test]
+async fn a_table_that_went_back_is_refused() {
+    let (platform, client) = start().await;
+    for value in ["one", "two"] {
+        let version = u64::from(value == "two");
+        let commit = client.commit(&transaction(&[("control/a", version)], value)).await;
+        assert!(matches!(commit, Commit::Committed(_)), "{commit:?}");
+    }
+    let known = client.scan("control/", 0).await.expect("a scan").revision;
+    assert_eq!(client.scan("control/", known).await.expect("a scan").revision, known);
+    platform.forget();
+    let error = client.scan("control/", known).await.expect_err("the table went back");
+    assert_eq!(error.kind(), ErrorKind::WentBack);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -78,10 +78,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] if the platform sends no valid response.
+    /// Returns [`ErrorKind::WentBack`] if the table has not reached `revision`: its versions and
+    /// fencing tokens would be given out again. Returns another kind if the platform sends no valid
+    /// response.
     pub async fn scan(&self, prefix: &str, revision: u64) -> Result<ScanReply, Error> {
         let path = format!("/table/scan?prefix={prefix}&after={revision}");
-        Ok(self.http.get(self.address, &path).await?)
+        let reply: ScanReply = self.http.get(self.address, &path).await?;
+        if reply.revision < revision {
+            return Err(Error::went_back());
+        }
+        Ok(reply)
     }
 
     /// Reads one row; an absent one has version zero and no value.
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -14,16 +14,24 @@
     NotFound,
     /// The response is not what the platform's interface specifies.
     Malformed,
+    /// The table is at an earlier revision than before: it has lost commits.
+    WentBack,
 }
 
 /// A failed request to the platform.
 #[derive(Clone, Debug)]
 pub struct Error {
     kind: ErrorKind,
-    cause: wire::Error,
+    /// The failure of the call; none if the response itself is the error.
+    cause: Option<wire::Error>,
 }
 
 impl Error {
+    /// Returns the error of a table that is at an earlier revision than before.
+    pub(crate) const fn went_back() -> Self {
+        Self { kind: ErrorKind::WentBack, cause: None }
+    }
+
     /// Returns the cause of the error.
     #[must_use]
     pub const fn kind(&self) -> ErrorKind {
@@ -41,18 +49,22 @@
             wire::ErrorKind::Malformed | wire::ErrorKind::TooLarge(_) => ErrorKind::Malformed,
             _ => ErrorKind::Ambiguous,
         };
-        Self { kind, cause }
+        Self { kind, cause: Some(cause) }
     }
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "request to the platform failed: {}", self.cause)
+        match &self.cause {
+            Some(cause) => write!(out, "request to the platform failed: {cause}"),
+            None => out.write_str("the platform's table has gone back to an earlier revision"),
+        }
     }
 }
 
 impl std::error::Error for Error {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
-        Some(&self.cause)
+        let cause = self.cause.as_ref()?;
+        Some(cause)
     }
 }
