Split the long modules of edge by what they do

The attempts at one request leave handle.rs; carrying out orders, answering reports and campaigning leave the modules of the leader and of the state. Functions are moved as they were.

--- /dev/null
+++ b/crates/edge/src/control/state/campaigning.rs
@@ -0,0 +1,108 @@
+//! The leadership record: who leads, and the campaign to become the leader.
+
+use {
+    super::{State, recovery::Recovery},
+    crate::control::{
+        feeds::send,
+        input::Input,
+        records::{LEADERSHIP_KEY, LeadershipRecord},
+    },
+    hold::election::Leader,
+    key::{Version, clock::Tick},
+    platform::store::{Commit, Table, Write},
+};
+
+impl State {
+    /// Replaces the leadership record by a newer one; steps down if it names another process.
+    pub(super) fn apply_leadership(
+        &mut self,
+        record: LeadershipRecord,
+        version: Version,
+        now: Tick,
+    ) {
+        if version <= self.leadership_version {
+            return;
+        }
+        self.log_belief(LEADERSHIP_KEY, version, record.vm.as_str());
+        if !record.is_held_by(&self.me) && self.leadership.take().is_some() {
+            self.log_belief(LEADERSHIP_KEY, version, "no longer this process");
+        }
+        if version.era() == self.store.era() {
+            self.leadership_row = self.leadership_row.max(version);
+        }
+        self.set_leadership(record, version);
+        self.resigning = false;
+        self.election.record_heartbeat(now);
+    }
+
+    /// Replaces what is known of the leader, and keeps the version of the last one of earlier eras.
+    pub(super) fn set_leadership(&mut self, record: LeadershipRecord, version: Version) {
+        if self.leadership_version.era() < version.era() {
+            self.former_leadership_version = self.leadership_version;
+        }
+        self.leadership_record = Some(record);
+        self.leadership_version = version;
+    }
+
+    /// Returns what the leadership record says of the leader.
+    pub(super) fn leader(&self) -> Leader {
+        match &self.leadership_record {
+            None => Leader::Vacant,
+            Some(record) if record.vm == self.me.vm => Leader::FormerSelf,
+            Some(_) => Leader::Other { resigning: self.resigning },
+        }
+    }
+
+    /// Tries to become the leader by a conditional write of the leadership record.
+    pub(super) fn campaign(&mut self, now: Tick) {
+        self.election.record_attempt(now);
+        self.campaigning = true;
+        let record = LeadershipRecord {
+            vm: self.me.vm.clone(),
+            incarnation: self.me.incarnation,
+            address: self.shared.settings.peer_listen,
+            term: self.leadership_record.as_ref().map_or(0, |record| record.term) + 1,
+            era: Some(self.store.era()),
+        };
+        self.log_belief(LEADERSHIP_KEY, self.leadership_version, "standing");
+        // Serializing a struct of plain fields cannot fail.
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let write = Write {
+            table: Table::Entries,
+            key: LEADERSHIP_KEY.into(),
+            expected: self.leadership_row,
+            value: Some(value),
+        };
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let commit = store.commit(&[write]).await;
+            send(&inputs, Input::CampaignResult { record, commit }).await;
+        });
+    }
+
+    /// Becomes the leader if the write of the leadership record was committed.
+    pub(super) fn handle_campaign_result(
+        &mut self,
+        record: LeadershipRecord,
+        commit: Commit,
+        now: Tick,
+    ) {
+        self.campaigning = false;
+        // The feed may deliver the record before the result of the commit. If the result is lost,
+        // the feed shows whether the write took effect; the record then looks like one of an
+        // earlier run of this process, which makes it campaign again.
+        if let Commit::Committed(version) = commit
+            && version >= self.leadership_version
+            && Some(version.era()) == record.era
+        {
+            self.set_leadership(record, version);
+            self.leadership_row = version;
+            match &mut self.leadership {
+                // The record was written again in a new era.
+                Some(leadership) => leadership.recovery = Recovery::default(),
+                None => self.become_leader(now),
+            }
+            self.announce_leadership();
+        }
+    }
+}
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -1,9 +1,9 @@
-//! The work of the leader: planning who holds which keys, and renewing the grants.
+//! The work of the leader: planning who holds which keys.
 //!
-//! The planners of crate `hold` decide; this module sends their grants and releases, writes their
-//! maps and feeds the results back to them. It acts only under the leadership lease, which a full
-//! read of the rows extends. All calls run as tasks of the control thread and report through its
-//! input queue, so no slow target or store delays the others.
+//! The planners of crate `hold` decide, and module `ordering` carries out what they decide. The
+//! leader acts only under the leadership lease, which a full read of the rows extends. All calls run
+//! as tasks of the control thread and report through its input queue, so no slow target or store
+//! delays the others.
 
 use {
     super::{State, recovery::Recovery},
@@ -11,24 +11,20 @@
         feeds::send,
         input::Input,
         orders,
-        peers::{Announcement, MapDelta, Reply, Report, VersionedRegistration},
+        peers::Announcement,
         records::{LEADERSHIP_KEY, LeadershipRecord},
     },
-    hold::{
-        Action, Connections, Instance, Map, Planner, Span, connections,
-        planner::{self, Grant, Outcome, WriteOutcome},
-    },
-    key::{Fence, Service, Version, Vm, clock::Tick},
+    hold::{Action, Connections, Map, Planner, planner},
+    key::{Service, Vm, clock::Tick},
     platform::{
         order::Connection,
-        store::{Commit, Rows, Table, Write},
+        store::{Rows, Table},
     },
     serde::Serialize,
-    smol_str::SmolStr,
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -71,7 +67,7 @@
     /// What this process does about changes that the store may have lost.
     pub(super) recovery: Recovery,
     /// The connections over which targets get grants.
-    connections: Connections<Connection>,
+    pub(super) connections: Connections<Connection>,
     /// When each other entry last reported.
     pub(super) last_report_at: HashMap<Vm, Tick>,
     /// The rate limits of targets, as the other entries are told.
@@ -80,18 +76,6 @@
     pub(super) coordinated_fraction: f64,
 }
 
-/// The journal line about a grant or release.
-#[derive(Serialize)]
-struct OrderLine<'a> {
-    order: &'a str,
-    target: &'a str,
-    born: u64,
-    first: u16,
-    last: u16,
-    fence: u64,
-    outcome: &'a str,
-}
-
 /// The journal line with the summary of a planner.
 #[derive(Serialize)]
 struct BalanceLine<'a> {
@@ -100,16 +84,6 @@
     summary: planner::Summary,
 }
 
-/// The journal line about the write of a map.
-#[derive(Serialize)]
-struct PlanLine<'a> {
-    service: &'a str,
-    version: u64,
-    holdings: usize,
-    holders: usize,
-    outcome: &'a str,
-}
-
 impl Leadership {
     /// Makes the next read of the rows due at once.
     pub(super) const fn forget_confirmation(&mut self) {
@@ -295,263 +269,4 @@
             });
         }
     }
-
-    /// Starts an action of a planner; its result comes back as an input.
-    fn execute(&mut self, service: &Service, action: Action) {
-        let service = service.clone();
-        match action {
-            Action::Grant { instance, address, grants } => {
-                self.send_grants(service, instance, address, grants);
-            }
-            Action::Release { instance, address, span, fence } => {
-                self.log_order("release", &instance, span, fence, "sent");
-                let inputs = self.inputs.clone();
-                tokio::task::spawn_local(async move {
-                    let result = orders::send_release(&instance, address, span, fence).await;
-                    send(&inputs, Input::ReleaseResult { service, instance, span, result }).await;
-                });
-            }
-            Action::Write(map) => self.write_map(service, &map),
-        }
-    }
-
-    fn log_order(&self, order: &str, instance: &Instance, span: Span, fence: Fence, outcome: &str) {
-        self.shared.journal.log(
-            "order",
-            &OrderLine {
-                order,
-                target: instance.vm.as_str(),
-                born: instance.started_at_ms,
-                first: span.first,
-                last: span.last,
-                fence: fence.get(),
-                outcome,
-            },
-        );
-    }
-
-    /// Sends grants over the connection on which the target got earlier ones. Reports them as
-    /// unsent if that connection has closed: another instance may have started at the address, and
-    /// only a new fence makes a new connection safe.
-    fn send_grants(
-        &mut self,
-        service: Service,
-        instance: Instance,
-        address: SocketAddr,
-        grants: Vec<Grant>,
-    ) {
-        let Some(leadership) = &mut self.leadership else { return };
-        let checkout =
-            match leadership.connections.check_out(&instance, |connection| !connection.is_closed())
-            {
-                connections::Checkout::Reuse(connection) => orders::Checkout::Reuse(connection),
-                connections::Checkout::Connect => orders::Checkout::Connect,
-                connections::Checkout::Closed => {
-                    let unsent: Vec<_> =
-                        grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
-                    if let Some(planner) = leadership.planners.get_mut(&service) {
-                        planner.record_grants(&instance, &unsent, Tick::now());
-                    }
-                    return;
-                }
-            };
-        let (grant_duration, inputs) =
-            (self.shared.settings.hold.as_duration(), self.inputs.clone());
-        tokio::task::spawn_local(async move {
-            let (results, connection) =
-                orders::send_grants(checkout, &instance, address, grant_duration, grants).await;
-            send(&inputs, Input::GrantResults { service, instance, results, connection }).await;
-        });
-    }
-
-    /// Passes the outcomes of grants to the planner and returns the connection to the pool.
-    pub(super) fn handle_grant_results(
-        &mut self,
-        service: &Service,
-        instance: &Instance,
-        results: &[(Grant, Outcome)],
-        connection: Option<Connection>,
-        now: Tick,
-    ) {
-        for (grant, outcome) in results {
-            if *outcome != Outcome::Granted {
-                let outcome = format!("{outcome:?}");
-                self.log_order("grant", instance, grant.span, grant.fence, &outcome);
-            }
-        }
-        let Some(leadership) = &mut self.leadership else { return };
-        if let Some(connection) = connection {
-            leadership.connections.check_in(instance, connection);
-        }
-        let Some(planner) = leadership.planners.get_mut(service) else { return };
-        if planner.record_grants(instance, results, now) {
-            self.read_rows(now);
-        }
-    }
-
-    /// Passes the outcome of a release to the planner and plans again.
-    pub(super) fn handle_release_result(
-        &mut self,
-        service: &Service,
-        instance: &Instance,
-        span: Span,
-        result: Result<Option<SmolStr>, Outcome>,
-        now: Tick,
-    ) {
-        let outcome = format!("{:?}", result.as_ref().map(Option::is_some));
-        self.log_order("released", instance, span, Fence::ZERO, &outcome);
-        let Some(leadership) = &mut self.leadership else { return };
-        if let Some(planner) = leadership.planners.get_mut(service) {
-            planner.record_release(instance, span, result);
-        }
-        // No target holds these keys until they are assigned again, so this cannot wait for a tick.
-        self.plan(now);
-    }
-
-    /// Writes a map on the condition that neither it nor the leadership record has changed.
-    fn write_map(&self, service: Service, map: &Map) {
-        let planner =
-            self.leadership.as_ref().and_then(|leadership| leadership.planners.get(&service));
-        let Some(row_version) = planner.map(Planner::row_version) else { return };
-        let era = self.store.era();
-        let writes = [
-            Write {
-                table: Table::Entries,
-                key: LEADERSHIP_KEY.into(),
-                // A record of an earlier era is not enough, so the write waits for a new one.
-                expected: self.leadership_version,
-                // Only the version is compared; the row stays.
-                value: None,
-            },
-            Write {
-                table: Table::Maps,
-                key: service.as_str().into(),
-                expected: row_version,
-                value: Some(map.to_bytes(era)),
-            },
-        ];
-        self.log_plan(&service, map, "writing");
-        let (store, inputs) = (self.store.clone(), self.inputs.clone());
-        tokio::task::spawn_local(async move {
-            let commit = match store.commit(&writes).await {
-                // The row says that it was written in the era before.
-                Commit::Committed(version) if version.era() != era => Commit::Ambiguous,
-                commit => commit,
-            };
-            send(&inputs, Input::MapWritten { service, commit }).await;
-        });
-    }
-
-    /// Sends a delta to all other entries, which would otherwise learn of it only from the reply to
-    /// their next report.
-    fn push_delta(&self, delta: MapDelta) {
-        let (peers, others) = (self.peers.clone(), self.other_entries());
-        tokio::task::spawn_local(async move { peers.push_delta(others, &delta).await });
-    }
-
-    fn log_plan(&self, service: &Service, map: &Map, outcome: &str) {
-        self.shared.journal.log(
-            "plan",
-            &PlanLine {
-                service: service.as_str(),
-                version: map.version.get(),
-                holdings: map.assignments.len(),
-                holders: map.holders.len(),
-                outcome,
-            },
-        );
-    }
-
-    /// Passes the outcome of a write to the planner; applies and distributes a map that was
-    /// committed.
-    pub(super) fn handle_map_written(&mut self, service: &Service, commit: Commit, now: Tick) {
-        let Some(leadership) = &mut self.leadership else { return };
-        let Some(planner) = leadership.planners.get_mut(service) else { return };
-        planner.record_write(match commit {
-            Commit::Committed(version) => WriteOutcome::Committed(version),
-            Commit::Refused => WriteOutcome::Refused,
-            Commit::Conflict | Commit::Ambiguous => WriteOutcome::Unknown,
-        });
-        let map = planner.map().clone();
-        self.log_plan(service, &map, &format!("{commit:?}"));
-        if let Commit::Committed(_) = commit {
-            let base = self.maps.get(service).map_or(Version::ZERO, |map| map.version);
-            let delta = map.delta(base);
-            self.apply_map(service.clone(), map);
-            // New holders get their grants without waiting for the next tick.
-            self.plan(now);
-            self.push_delta(MapDelta { service: service.clone(), delta });
-        } else {
-            self.read_rows(now);
-        }
-    }
-
-    /// Records what an entry observed: crash reports, ended instances, load and latencies.
-    pub(super) fn record_report(&mut self, report: &Report, now: Tick) {
-        for crash_report in &report.crash_reports {
-            self.shared.quarantine().record_crash(*crash_report, Instant::now());
-            self.crash_reports
-                .push_back(super::RecentCrash { report: *crash_report, recorded_at: now });
-        }
-        let Some(leadership) = &mut self.leadership else { return };
-        for instance in &report.ended_instances {
-            leadership
-                .planners
-                .values_mut()
-                .for_each(|planner| planner.record_instance_end(instance));
-        }
-        for load in &report.load {
-            let Some(planner) = leadership.planners.get_mut(&load.service) else { continue };
-            for count in &load.keys {
-                planner.load_mut().record_requests(count.key, count.requests);
-            }
-        }
-        for stats in &report.latencies {
-            if let Some(planner) = leadership.planners.get_mut(&stats.service) {
-                let seconds = stats.mean_ms as f64 / 1_000.0;
-                planner.load_mut().record_service_time(&stats.instance, seconds);
-            }
-        }
-    }
-
-    /// Records the report of another entry and returns what is newer here.
-    pub(super) fn handle_report(&mut self, report: &Report, now: Tick) -> Reply {
-        self.record_report(report, now);
-        self.record_heard_limits(report, now);
-        let resigning = self.is_store_unavailable(now);
-        let leads = self.leadership.is_some();
-        if let Some(leadership) = &mut self.leadership {
-            leadership.last_report_at.insert(report.vm.clone(), now);
-        }
-        if let Some(routing) = report.newer_routing.clone() {
-            self.apply_routing(routing, "from a report");
-        }
-        let targets = (report.wants_targets && !resigning).then(|| {
-            let registered = self.registry.targets().filter(|target| target.is_registered());
-            registered
-                .map(|target| VersionedRegistration {
-                    registration: target.registration.clone(),
-                    version: target.version,
-                    leaving_for_ms: self.registry.leaving_for(target, now).as_millis() as u64,
-                })
-                .collect()
-        });
-        let (limits, limit_revision) = self.limits_for(report.limit_revision, now);
-        Reply {
-            leads,
-            resigning,
-            entries: self.entry_count,
-            routing: self.newer_routing(report.routing),
-            routing_version: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
-            maps: self.maps_newer_than(&report.maps),
-            targets,
-            crash_reports: self.crash_reports.iter().map(|recent| recent.report).collect(),
-            limits,
-            limit_revision,
-            coordinated_fraction: self
-                .leadership
-                .as_ref()
-                .map_or(1.0, |leadership| leadership.coordinated_fraction),
-        }
-    }
 }
--- /dev/null
+++ b/crates/edge/src/control/state/ordering.rs
@@ -0,0 +1,232 @@
+//! Carrying out the actions of the planners: grants, releases and writes of maps.
+
+use {
+    super::State,
+    crate::control::{feeds::send, input::Input, orders, peers::MapDelta, records::LEADERSHIP_KEY},
+    hold::{
+        Action, Instance, Map, Planner, Span, connections,
+        planner::{Grant, Outcome, WriteOutcome},
+    },
+    key::{Fence, Service, Version, clock::Tick},
+    platform::{
+        order::Connection,
+        store::{Commit, Table, Write},
+    },
+    serde::Serialize,
+    smol_str::SmolStr,
+    std::net::SocketAddr,
+};
+
+/// The journal line about a grant or release.
+#[derive(Serialize)]
+struct OrderLine<'a> {
+    order: &'a str,
+    target: &'a str,
+    born: u64,
+    first: u16,
+    last: u16,
+    fence: u64,
+    outcome: &'a str,
+}
+
+/// The journal line about the write of a map.
+#[derive(Serialize)]
+struct PlanLine<'a> {
+    service: &'a str,
+    version: u64,
+    holdings: usize,
+    holders: usize,
+    outcome: &'a str,
+}
+
+impl State {
+    /// Starts an action of a planner; its result comes back as an input.
+    pub(super) fn execute(&mut self, service: &Service, action: Action) {
+        let service = service.clone();
+        match action {
+            Action::Grant { instance, address, grants } => {
+                self.send_grants(service, instance, address, grants);
+            }
+            Action::Release { instance, address, span, fence } => {
+                self.log_order("release", &instance, span, fence, "sent");
+                let inputs = self.inputs.clone();
+                tokio::task::spawn_local(async move {
+                    let result = orders::send_release(&instance, address, span, fence).await;
+                    send(&inputs, Input::ReleaseResult { service, instance, span, result }).await;
+                });
+            }
+            Action::Write(map) => self.write_map(service, &map),
+        }
+    }
+
+    fn log_order(&self, order: &str, instance: &Instance, span: Span, fence: Fence, outcome: &str) {
+        self.shared.journal.log(
+            "order",
+            &OrderLine {
+                order,
+                target: instance.vm.as_str(),
+                born: instance.started_at_ms,
+                first: span.first,
+                last: span.last,
+                fence: fence.get(),
+                outcome,
+            },
+        );
+    }
+
+    /// Sends grants over the connection on which the target got earlier ones. Reports them as
+    /// unsent if that connection has closed: another instance may have started at the address, and
+    /// only a new fence makes a new connection safe.
+    fn send_grants(
+        &mut self,
+        service: Service,
+        instance: Instance,
+        address: SocketAddr,
+        grants: Vec<Grant>,
+    ) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let checkout =
+            match leadership.connections.check_out(&instance, |connection| !connection.is_closed())
+            {
+                connections::Checkout::Reuse(connection) => orders::Checkout::Reuse(connection),
+                connections::Checkout::Connect => orders::Checkout::Connect,
+                connections::Checkout::Closed => {
+                    let unsent: Vec<_> =
+                        grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
+                    if let Some(planner) = leadership.planners.get_mut(&service) {
+                        planner.record_grants(&instance, &unsent, Tick::now());
+                    }
+                    return;
+                }
+            };
+        let (grant_duration, inputs) =
+            (self.shared.settings.hold.as_duration(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let (results, connection) =
+                orders::send_grants(checkout, &instance, address, grant_duration, grants).await;
+            send(&inputs, Input::GrantResults { service, instance, results, connection }).await;
+        });
+    }
+
+    /// Passes the outcomes of grants to the planner and returns the connection to the pool.
+    pub(super) fn handle_grant_results(
+        &mut self,
+        service: &Service,
+        instance: &Instance,
+        results: &[(Grant, Outcome)],
+        connection: Option<Connection>,
+        now: Tick,
+    ) {
+        for (grant, outcome) in results {
+            if *outcome != Outcome::Granted {
+                let outcome = format!("{outcome:?}");
+                self.log_order("grant", instance, grant.span, grant.fence, &outcome);
+            }
+        }
+        let Some(leadership) = &mut self.leadership else { return };
+        if let Some(connection) = connection {
+            leadership.connections.check_in(instance, connection);
+        }
+        let Some(planner) = leadership.planners.get_mut(service) else { return };
+        if planner.record_grants(instance, results, now) {
+            self.read_rows(now);
+        }
+    }
+
+    /// Passes the outcome of a release to the planner and plans again.
+    pub(super) fn handle_release_result(
+        &mut self,
+        service: &Service,
+        instance: &Instance,
+        span: Span,
+        result: Result<Option<SmolStr>, Outcome>,
+        now: Tick,
+    ) {
+        let outcome = format!("{:?}", result.as_ref().map(Option::is_some));
+        self.log_order("released", instance, span, Fence::ZERO, &outcome);
+        let Some(leadership) = &mut self.leadership else { return };
+        if let Some(planner) = leadership.planners.get_mut(service) {
+            planner.record_release(instance, span, result);
+        }
+        // No target holds these keys until they are assigned again, so this cannot wait for a tick.
+        self.plan(now);
+    }
+
+    /// Writes a map on the condition that neither it nor the leadership record has changed.
+    fn write_map(&self, service: Service, map: &Map) {
+        let planner =
+            self.leadership.as_ref().and_then(|leadership| leadership.planners.get(&service));
+        let Some(row_version) = planner.map(Planner::row_version) else { return };
+        let era = self.store.era();
+        let writes = [
+            Write {
+                table: Table::Entries,
+                key: LEADERSHIP_KEY.into(),
+                // A record of an earlier era is not enough, so the write waits for a new one.
+                expected: self.leadership_version,
+                // Only the version is compared; the row stays.
+                value: None,
+            },
+            Write {
+                table: Table::Maps,
+                key: service.as_str().into(),
+                expected: row_version,
+                value: Some(map.to_bytes(era)),
+            },
+        ];
+        self.log_plan(&service, map, "writing");
+        let (store, inputs) = (self.store.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let commit = match store.commit(&writes).await {
+                // The row says that it was written in the era before.
+                Commit::Committed(version) if version.era() != era => Commit::Ambiguous,
+                commit => commit,
+            };
+            send(&inputs, Input::MapWritten { service, commit }).await;
+        });
+    }
+
+    /// Sends a delta to all other entries, which would otherwise learn of it only from the reply to
+    /// their next report.
+    fn push_delta(&self, delta: MapDelta) {
+        let (peers, others) = (self.peers.clone(), self.other_entries());
+        tokio::task::spawn_local(async move { peers.push_delta(others, &delta).await });
+    }
+
+    fn log_plan(&self, service: &Service, map: &Map, outcome: &str) {
+        self.shared.journal.log(
+            "plan",
+            &PlanLine {
+                service: service.as_str(),
+                version: map.version.get(),
+                holdings: map.assignments.len(),
+                holders: map.holders.len(),
+                outcome,
+            },
+        );
+    }
+
+    /// Passes the outcome of a write to the planner; applies and distributes a map that was
+    /// committed.
+    pub(super) fn handle_map_written(&mut self, service: &Service, commit: Commit, now: Tick) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let Some(planner) = leadership.planners.get_mut(service) else { return };
+        planner.record_write(match commit {
+            Commit::Committed(version) => WriteOutcome::Committed(version),
+            Commit::Refused => WriteOutcome::Refused,
+            Commit::Conflict | Commit::Ambiguous => WriteOutcome::Unknown,
+        });
+        let map = planner.map().clone();
+        self.log_plan(service, &map, &format!("{commit:?}"));
+        if let Commit::Committed(_) = commit {
+            let base = self.maps.get(service).map_or(Version::ZERO, |map| map.version);
+            let delta = map.delta(base);
+            self.apply_map(service.clone(), map);
+            // New holders get their grants without waiting for the next tick.
+            self.plan(now);
+            self.push_delta(MapDelta { service: service.clone(), delta });
+        } else {
+            self.read_rows(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/state/reporting.rs
@@ -0,0 +1,78 @@
+//! What the leader does with the reports of all entries, and its replies.
+
+use {
+    super::{RecentCrash, State},
+    crate::control::peers::{Reply, Report, VersionedRegistration},
+    key::{Version, clock::Tick},
+    std::time::Instant,
+};
+
+impl State {
+    /// Records what an entry observed: crash reports, ended instances, load and latencies.
+    pub(super) fn record_report(&mut self, report: &Report, now: Tick) {
+        for crash_report in &report.crash_reports {
+            self.shared.quarantine().record_crash(*crash_report, Instant::now());
+            self.crash_reports.push_back(RecentCrash { report: *crash_report, recorded_at: now });
+        }
+        let Some(leadership) = &mut self.leadership else { return };
+        for instance in &report.ended_instances {
+            leadership
+                .planners
+                .values_mut()
+                .for_each(|planner| planner.record_instance_end(instance));
+        }
+        for load in &report.load {
+            let Some(planner) = leadership.planners.get_mut(&load.service) else { continue };
+            for count in &load.keys {
+                planner.load_mut().record_requests(count.key, count.requests);
+            }
+        }
+        for stats in &report.latencies {
+            if let Some(planner) = leadership.planners.get_mut(&stats.service) {
+                let seconds = stats.mean_ms as f64 / 1_000.0;
+                planner.load_mut().record_service_time(&stats.instance, seconds);
+            }
+        }
+    }
+
+    /// Records the report of another entry and returns what is newer here.
+    pub(super) fn handle_report(&mut self, report: &Report, now: Tick) -> Reply {
+        self.record_report(report, now);
+        self.record_heard_limits(report, now);
+        let resigning = self.is_store_unavailable(now);
+        let leads = self.leadership.is_some();
+        if let Some(leadership) = &mut self.leadership {
+            leadership.last_report_at.insert(report.vm.clone(), now);
+        }
+        if let Some(routing) = report.newer_routing.clone() {
+            self.apply_routing(routing, "from a report");
+        }
+        let targets = (report.wants_targets && !resigning).then(|| {
+            let registered = self.registry.targets().filter(|target| target.is_registered());
+            registered
+                .map(|target| VersionedRegistration {
+                    registration: target.registration.clone(),
+                    version: target.version,
+                    leaving_for_ms: self.registry.leaving_for(target, now).as_millis() as u64,
+                })
+                .collect()
+        });
+        let (limits, limit_revision) = self.limits_for(report.limit_revision, now);
+        Reply {
+            leads,
+            resigning,
+            entries: self.entry_count,
+            routing: self.newer_routing(report.routing),
+            routing_version: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
+            maps: self.maps_newer_than(&report.maps),
+            targets,
+            crash_reports: self.crash_reports.iter().map(|recent| recent.report).collect(),
+            limits,
+            limit_revision,
+            coordinated_fraction: self
+                .leadership
+                .as_ref()
+                .map_or(1.0, |leadership| leadership.coordinated_fraction),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/traffic/attempts.rs
@@ -0,0 +1,356 @@
+//! The attempts at one request: which target comes next, and what each result means.
+//!
+//! A request is sent to one target after another until one answers or a limit is reached: the
+//! deadline, the attempts of the route, the retry budget that all entries share, or the rate limits
+//! that targets name. A request that may have run is sent again only if its route allows repeats.
+
+use {
+    crate::{
+        permit,
+        shared::Shared,
+        snapshot::Snapshot,
+        traffic::{
+            attempt::{self, AttemptResult},
+            body::Body,
+            choose,
+            handle::AdmittedRequest,
+            target::{ConnectError, Target},
+        },
+    },
+    http::Response,
+    key::clock::Tick,
+    limit::{Permit, Request as PermitRequest},
+    platform::header::Denial,
+    route::{
+        Reason, Refusal,
+        budget::{RetryLimit, Window},
+        quarantine::CrashReport,
+    },
+    serde::Serialize,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// The fraction of the route's latency objective for which a request waits for a holder of its key,
+/// or for a ready target if the service has no keys.
+const TARGET_WAIT_FRACTION: f64 = 0.4;
+
+/// The longest time before a waiting request looks for a target again; a new snapshot ends it early.
+const TARGET_RETRY_INTERVAL: Duration = Duration::from_millis(25);
+
+/// The number of denials by targets that don't hold the key, or are not the expected instance, after
+/// which a request is refused.
+const MAX_MISDIRECTIONS: u32 = 2;
+
+/// The fraction of the fleet's retry budget that the entries use; the rest allows for retries that
+/// they cannot count.
+const RETRY_BUDGET_FRACTION: f64 = 0.75;
+
+/// The journal line about a failed attempt.
+#[derive(Serialize)]
+struct AttemptLine<'a> {
+    id: &'a str,
+    target: &'a str,
+    result: &'a str,
+    after_ms: u64,
+}
+
+/// The attempts at one request, and what they have shown so far.
+pub(crate) struct Attempts<'a> {
+    shared: &'a Arc<Shared>,
+    admitted: &'a AdmittedRequest,
+    /// The number of attempts in which anything was sent.
+    pub(crate) sent: u32,
+    /// Whether a target may have run the request.
+    may_have_run: bool,
+    /// The targets of the attempts so far.
+    tried: Vec<Arc<Target>>,
+    /// The time after which a target that refused the request for its rate limit can take it.
+    pub(crate) due_in: Option<Duration>,
+}
+
+impl<'a> Attempts<'a> {
+    pub(crate) const fn new(shared: &'a Arc<Shared>, admitted: &'a AdmittedRequest) -> Self {
+        Self { shared, admitted, sent: 0, may_have_run: false, tried: Vec::new(), due_in: None }
+    }
+
+    /// Makes attempts until one settles the request.
+    pub(crate) async fn run(&mut self) -> Result<Response<Body>, Refusal> {
+        let mut misdirections = 0;
+        loop {
+            if self.admitted.call.remaining().is_zero() {
+                return Err(self.refusal(Reason::Deadline));
+            }
+            if self.shared.quarantine().is_refused(self.admitted.fingerprint) {
+                return Err(self.refusal(Reason::Quarantined));
+            }
+            if self.sent > 0 && !self.try_retry() {
+                return Err(self.refusal(Reason::Overloaded));
+            }
+            let target = self.next_permitted_target().await?;
+            let result = attempt::send(self.shared, &self.admitted.call, &target).await;
+            if !matches!(result, AttemptResult::Unsent(_)) {
+                self.sent += 1;
+            }
+            self.tried.push(Arc::clone(&target));
+            match result {
+                AttemptResult::Answered(response) => {
+                    let can_try_other = self.can_repeat() && attempt::is_failure(&response);
+                    if !can_try_other || !self.has_other_target() {
+                        return Ok(*response);
+                    }
+                    self.record_failure(&target, "failure of the target");
+                    if !self.try_retry() {
+                        return Ok(*response);
+                    }
+                    self.may_have_run = true;
+                    // The retry budget was already charged for this attempt.
+                    return self.final_attempt(*response).await;
+                }
+                AttemptResult::Unsent(error) => {
+                    self.record_failure(&target, "unreachable");
+                    self.check_unsent(error)?;
+                }
+                AttemptResult::Denied(denial @ (Denial::NotHeld | Denial::WrongTarget)) => {
+                    self.record_misdirection(&target, denial);
+                    misdirections += 1;
+                    if misdirections >= MAX_MISDIRECTIONS {
+                        return Err(self.refusal(Reason::NoOwner));
+                    }
+                    self.wait_for_change(TARGET_RETRY_INTERVAL).await;
+                }
+                AttemptResult::Denied(Denial::Malformed) => {
+                    return Err(self.refusal(Reason::BadHeader));
+                }
+                AttemptResult::Denied(Denial::Shed) => {
+                    self.record_failure(&target, "shed");
+                    target.record_shed();
+                    if self.admitted.keyed || !self.has_attempts() {
+                        return Err(self.refusal(Reason::Overloaded));
+                    }
+                }
+                AttemptResult::Lost => {
+                    self.record_failure(&target, "connection lost");
+                    self.may_have_run = true;
+                    self.report_crash(&target).await;
+                    if !self.can_repeat() {
+                        return Err(self.refusal(Reason::ConnectionLost));
+                    }
+                }
+                AttemptResult::Broken => {
+                    self.record_failure(&target, "broken answer");
+                    self.may_have_run = true;
+                    if !self.can_repeat() {
+                        return Err(self.refusal(Reason::MismatchedAnswer));
+                    }
+                }
+                AttemptResult::Late => {
+                    self.record_failure(&target, "late");
+                    target.close_idle();
+                    self.may_have_run = true;
+                    return Err(self.refusal(Reason::Deadline));
+                }
+            }
+        }
+    }
+
+    /// Tries one other target after a failure response, and returns the failure if that attempt
+    /// gets no response.
+    async fn final_attempt(&mut self, failure: Response<Body>) -> Result<Response<Body>, Refusal> {
+        let Ok(target) = self.next_permitted_target().await else { return Ok(failure) };
+        let result = attempt::send(self.shared, &self.admitted.call, &target).await;
+        self.sent += 1;
+        match result {
+            AttemptResult::Answered(response) => Ok(*response),
+            _ => Ok(failure),
+        }
+    }
+
+    /// Returns a refusal that says whether the request may have run.
+    fn refusal(&self, reason: Reason) -> Refusal {
+        if self.may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) }
+    }
+
+    fn has_attempts(&self) -> bool {
+        self.sent < self.admitted.route.attempts
+    }
+
+    /// Returns true if the request may be sent again although it may have run.
+    fn can_repeat(&self) -> bool {
+        !self.admitted.call.at_most_once && self.has_attempts()
+    }
+
+    /// Returns true if another target can serve the request; a key has one holder only.
+    fn has_other_target(&self) -> bool {
+        !self.admitted.keyed
+    }
+
+    /// Charges one retry to this entry's share of the fleet's budget; returns false if none is
+    /// left.
+    fn try_retry(&self) -> bool {
+        let retries = self.shared.settings.retries;
+        let entries = self.shared.snapshot.load().entries.max(1) as f64;
+        let limit = RetryLimit {
+            ratio: retries.ratio * RETRY_BUDGET_FRACTION,
+            extra: retries.extra * RETRY_BUDGET_FRACTION / entries,
+        };
+        let window = || Window::new(retries.window.as_duration());
+        let mut budgets = self.shared.budgets();
+        let budget = budgets.entry(self.admitted.service.clone()).or_insert_with(window);
+        let allowed = budget.try_retry(Instant::now(), limit);
+        self.shared.counters.count("retries", if allowed { "allowed" } else { "denied" });
+        allowed
+    }
+
+    /// Returns the target of the next attempt, with a permit if it names a rate limit. A request
+    /// that gets none goes to another target if the service has no keys, or else is refused.
+    async fn next_permitted_target(&mut self) -> Result<Arc<Target>, Refusal> {
+        const MAX_PERMIT_REQUESTS: usize = 3;
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            let target = self.next_target().await?;
+            let has_choice = !self.admitted.keyed
+                && !self.shared.limits().is_avoided(&target.instance, Tick::now());
+            let request = self.permit_request(has_choice);
+            match permit::acquire(self.shared, &target.instance, request).await {
+                Permit::After(wait) => {
+                    time::sleep(wait).await;
+                    return Ok(target);
+                }
+                Permit::Refused(due_in) => {
+                    self.due_in = Some(self.due_in.map_or(due_in, |other| other.min(due_in)));
+                    if !has_choice {
+                        break;
+                    }
+                    self.shared.limits().avoid(&target.instance, due_in, Tick::now());
+                }
+            }
+        }
+        Err(self.refusal(Reason::RateLimited))
+    }
+
+    /// Returns how long the request can wait for a permit, and its priority. A request that has a
+    /// choice of targets does not wait.
+    fn permit_request(&self, has_choice: bool) -> PermitRequest {
+        let snapshot = self.shared.snapshot.load();
+        let routes = snapshot.routing.iter().flat_map(|routing| &routing.routes);
+        let competing = routes
+            .filter(|route| route.parts.iter().any(|part| part.service == self.admitted.service));
+        let highest = competing.map(|route| route.priority).min();
+        let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
+        let wait = wait.saturating_sub(self.admitted.arrived_at.elapsed());
+        PermitRequest {
+            max_wait: if has_choice { Duration::ZERO } else { wait },
+            is_urgent: highest.is_none_or(|highest| self.admitted.route.priority <= highest),
+        }
+    }
+
+    /// Returns the target of the next attempt. Waits up to a fraction of the latency objective for
+    /// one that can be used.
+    async fn next_target(&self) -> Result<Arc<Target>, Refusal> {
+        let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
+        let wait_until = self.admitted.arrived_at + wait;
+        loop {
+            let mut changed = self.shared.snapshot_changed.subscribe();
+            let snapshot = self.shared.snapshot.load_full();
+            if let Some(target) = self.choose_target(&snapshot) {
+                return Ok(target);
+            }
+            let remaining = wait_until.saturating_duration_since(Instant::now());
+            if time::timeout(remaining.min(TARGET_RETRY_INTERVAL), changed.changed()).await.is_err()
+                && remaining <= TARGET_RETRY_INTERVAL
+            {
+                let reason =
+                    if self.admitted.keyed { Reason::NoOwner } else { Reason::Unreachable };
+                return Err(self.refusal(reason));
+            }
+        }
+    }
+
+    /// Returns the holder of the key, or a target of a service without keys.
+    fn choose_target(&self, snapshot: &Snapshot) -> Option<Arc<Target>> {
+        match self.admitted.key {
+            Some(key) if self.admitted.keyed => {
+                let map_version = snapshot.map_version(&self.admitted.service);
+                snapshot.holder(&self.admitted.service, key).filter(|target| {
+                    !target.is_unreachable() && !target.has_denied(key, map_version)
+                })
+            }
+            _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
+        }
+    }
+
+    /// Records that a target denied the request: another target runs at its address, or it does not
+    /// hold the key.
+    fn record_misdirection(&self, target: &Target, denial: Denial) {
+        if denial == Denial::WrongTarget {
+            self.record_failure(target, "another target");
+            if target.record_end() {
+                self.shared.feedback().ended_instances.push(target.instance.clone());
+            }
+            return;
+        }
+        self.record_failure(target, "not held");
+        let snapshot = self.shared.snapshot.load();
+        if let (Some(holders), Some(key)) =
+            (snapshot.holders.get(&self.admitted.service), self.admitted.key)
+            && let Some(assignment) = holders.map.assignment(key)
+        {
+            target.record_denial(assignment.span, holders.map.version);
+        }
+    }
+
+    /// Waits for a new snapshot, up to a timeout.
+    async fn wait_for_change(&self, timeout: Duration) {
+        let mut changed = self.shared.snapshot_changed.subscribe();
+        // Whether the time is over or the snapshot has changed, the request tries again.
+        if time::timeout(timeout, changed.changed()).await.is_err() {
+            self.shared.counters.count("waits", "holder");
+        }
+    }
+
+    /// Returns a refusal if it is no use to try again after an attempt that sent nothing: too many
+    /// targets were tried, or no process listens at the address of the holder.
+    fn check_unsent(&self, error: ConnectError) -> Result<(), Refusal> {
+        const MAX_UNSENT_ATTEMPTS: usize = 4;
+        if self.tried.len() > MAX_UNSENT_ATTEMPTS
+            || (self.admitted.keyed && error == ConnectError::Refused)
+        {
+            return Err(self.refusal(Reason::Unreachable));
+        }
+        Ok(())
+    }
+
+    /// Counts a failed attempt and logs it.
+    fn record_failure(&self, target: &Target, result: &str) {
+        self.shared.counters.count("attempts_failed", result);
+        self.shared.journal.log(
+            "attempt",
+            &AttemptLine {
+                id: &self.admitted.id,
+                target: target.instance.vm.as_str(),
+                result,
+                after_ms: self.admitted.arrived_at.elapsed().as_millis() as u64,
+            },
+        );
+    }
+
+    /// Reports that the request may have crashed the target, if the target's process has ended.
+    async fn report_crash(&self, target: &Target) {
+        if !target.probe_ended().await {
+            return;
+        }
+        // Identifies the instance, so that one crash seen by two entries counts once.
+        let crash = key::rendezvous_weight(
+            target.instance.vm.as_str(),
+            &target.instance.started_at_ms.to_string(),
+        );
+        let report = CrashReport { fingerprint: self.admitted.fingerprint, crash };
+        self.shared.feedback().crash_reports.push(report);
+        if self.shared.quarantine().record_crash(report, Instant::now()) {
+            self.shared.journal.log("quarantined", &report);
+        }
+    }
+}
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The data path: from a caller's connection to a target and back.
 
 pub(crate) mod attempt;
+pub(crate) mod attempts;
 pub(crate) mod body;
 pub(crate) mod choose;
 pub(crate) mod handle;
