--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -220,6 +220,7 @@
                     return Ok(target);
                 }
                 Permit::Refused(due_in) => {
+                    self.record_failure(&target, "rate limited");
                     self.due_in = Some(self.due_in.map_or(due_in, |other| other.min(due_in)));
                     if !has_choice {
                         break;
--- a/crates/report/src/explain.rs
+++ b/crates/report/src/explain.rs
@@ -201,6 +201,7 @@
         "no-owner" => "a target that holds the key: see the orders about the key",
         "unreachable" => "a target of the service that can be reached",
         "overloaded" => "a target with room, or a retry within the budget",
+        "rate-limited" => "a target below the rate limit that it names: see the attempts",
         "quarantined" => "a request that does not crash the targets that run it",
         "deadline" => "an answer before the caller's deadline or the route's timeout",
         "connection-lost" => "a connection that lasts until the answer",
--- a/crates/report/tests/explain.rs
+++ b/crates/report/tests/explain.rs
@@ -146,6 +146,18 @@
             unreadable: 0,
             conclusion: "Refused: no-owner. It has not run",
         },
+        Case {
+            name: "a target at its rate limit",
+            lines: &[
+                r#"{"at_ms":6,"vm":"e1","kind":"attempt","id":"a1","target":"t9","result":"rate limited"}"#,
+                r#"{"at_ms":7,"vm":"e1","kind":"refused","id":"a1","key":4,"outcome":"not-run","reason":"rate-limited"}"#,
+            ],
+            request_lines: 2,
+            beliefs: 0,
+            orders: 0,
+            unreadable: 0,
+            conclusion: "Refused: rate-limited. It has not run and will not. Needed: a target below",
+        },
         Case {
             name: "an answer after the deadline",
             lines: &[
