End the wait for former leaders when they say that they lead no more

Why this is safe: a process that reports follows the leader that it reports to (the report names the version of the record), so it issues no orders; it says whether a batch of grants is still under way. The record names all leaders whose leases may not have run out, so that one that is cut off is waited for. A grant that was sent before counts for its whole validity from the report on.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -118,6 +118,13 @@
     /// The limits that targets named in answers to this entry since its last report.
     #[serde(default)]
     pub(crate) limits: Vec<LimitNotice>,
+    /// Whether no order of this process is under way. A process that reports does not lead, so it
+    /// renews no grant any more.
+    #[serde(default)]
+    pub(crate) orders_ended: bool,
+    /// The version of the leadership record that the process follows.
+    #[serde(default)]
+    pub(crate) leadership: Version,
     /// The newest revision of limits that the entry knows.
     #[serde(default)]
     pub(crate) limit_revision: LimitRevision,
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -92,6 +92,10 @@
     /// The era of the store, and the one in which this process first heard from it.
     era: Era,
     first_era: Option<Era>,
+    /// When this process learned of the leader.
+    leadership_learned_at: Tick,
+    /// The number of batches of grants that are under way.
+    grant_batches: usize,
     /// The version of the newest leadership record of earlier eras.
     former_leadership_version: Version,
     /// Whether this entry's own row is being written.
@@ -147,6 +151,8 @@
             stored_maps: BTreeMap::new(),
             era: Era::ZERO,
             first_era: None,
+            leadership_learned_at: now,
+            grant_batches: 0,
             former_leadership_version: Version::ZERO,
             joining: false,
             leader_routing: Version::ZERO,
--- a/crates/edge/src/control/state/campaigning.rs
+++ b/crates/edge/src/control/state/campaigning.rs
@@ -1,14 +1,14 @@
 //! The leadership record: who leads, and the campaign to become the leader.
 
 use {
-    super::{State, recovery::Recovery},
+    super::{State, leading::LEADERSHIP_LEASE, recovery::Recovery},
     crate::control::{
         feeds::send,
         input::Input,
         records::{LEADERSHIP_KEY, LeadershipRecord},
     },
     hold::election::Leader,
-    key::{Version, clock::Tick},
+    key::{Version, Vm, clock::Tick},
     platform::store::{Commit, Table, Write},
 };
 
@@ -30,18 +30,33 @@
         if version.era() == self.store.era() {
             self.leadership_row = self.leadership_row.max(version);
         }
-        self.set_leadership(record, version);
+        self.set_leadership(record, version, now);
         self.resigning = false;
         self.election.record_heartbeat(now);
     }
 
     /// Replaces what is known of the leader, and keeps the version of the last one of earlier eras.
-    pub(super) fn set_leadership(&mut self, record: LeadershipRecord, version: Version) {
+    pub(super) fn set_leadership(&mut self, record: LeadershipRecord, version: Version, now: Tick) {
         if self.leadership_version.era() < version.era() {
             self.former_leadership_version = self.leadership_version;
         }
         self.leadership_record = Some(record);
         self.leadership_version = version;
+        self.leadership_learned_at = now;
+    }
+
+    /// Returns the VMs of the leaders that may still renew grants when this process takes over, or
+    /// `None` if they are not known. The leases of those before the last leader have run out once
+    /// that one has led for as long.
+    fn former_leaders(&self, now: Tick) -> Option<Vec<Vm>> {
+        let Some(record) = &self.leadership_record else { return Some(Vec::new()) };
+        let mut former = vec![record.vm.clone()];
+        if now.since(self.leadership_learned_at) < LEADERSHIP_LEASE {
+            former.extend(record.former.clone()?);
+        }
+        former.sort();
+        former.dedup();
+        Some(former)
     }
 
     /// Returns what the leadership record says of the leader.
@@ -62,6 +77,7 @@
             incarnation: self.me.incarnation,
             address: self.shared.settings.peer_listen,
             term: self.leadership_record.as_ref().map_or(0, |record| record.term) + 1,
+            former: self.former_leaders(now),
             era: Some(self.store.era()),
         };
         self.log_belief(LEADERSHIP_KEY, self.leadership_version, "standing");
@@ -95,7 +111,7 @@
             && version >= self.leadership_version
             && Some(version.era()) == record.era
         {
-            self.set_leadership(record, version);
+            self.set_leadership(record, version, now);
             self.leadership_row = version;
             match &mut self.leadership {
                 // The record was written again in a new era.
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -204,6 +204,8 @@
             latencies: latencies.collect(),
             crash_reports,
             ended_instances,
+            orders_ended: self.grant_batches == 0,
+            leadership: self.leadership_version,
             limits: self.heard_limits(now),
             limit_revision: self.limit_revision,
         }
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -22,7 +22,7 @@
     },
     serde::Serialize,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         time::Duration,
     },
@@ -64,6 +64,10 @@
     has_read_rows: bool,
     summary_logged_at: Tick,
     pub(super) planners: BTreeMap<Service, Planner>,
+    /// The former leaders that may still renew grants; `None` if they are not known.
+    unconfirmed_leaders: Option<BTreeSet<Vm>>,
+    /// Since when none of them does.
+    former_leaders_ended_at: Option<Tick>,
     /// What this process does about changes that the store may have lost.
     pub(super) recovery: Recovery,
     /// The connections over which targets get grants.
@@ -96,6 +100,7 @@
     pub(super) fn become_leader(&mut self, now: Tick) {
         self.log_belief(LEADERSHIP_KEY, self.leadership_version, "this process");
         self.resigning = false;
+        let former = self.leadership_record.as_ref().and_then(|record| record.former.clone());
         self.leadership = Some(Leadership {
             started_at: now,
             confirmed_at: now,
@@ -103,6 +108,8 @@
             has_read_rows: false,
             summary_logged_at: now,
             planners: BTreeMap::new(),
+            unconfirmed_leaders: former.map(|former| former.into_iter().collect()),
+            former_leaders_ended_at: None,
             recovery: Recovery::default(),
             connections: Connections::default(),
             last_report_at: HashMap::new(),
@@ -160,6 +167,22 @@
         }
     }
 
+    /// Records that a former leader renews no grants any more. Once that is true of all of them, keys
+    /// of lost targets need not wait for the end of their leases.
+    pub(super) fn confirm_former_leader(&mut self, vm: &Vm, now: Tick) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let Some(unconfirmed) = &mut leadership.unconfirmed_leaders else { return };
+        unconfirmed.remove(vm);
+        if !unconfirmed.is_empty() || leadership.former_leaders_ended_at.is_some() {
+            return;
+        }
+        leadership.former_leaders_ended_at = Some(now);
+        for planner in leadership.planners.values_mut() {
+            planner.record_former_leaders_ended(now);
+        }
+        self.log_belief(LEADERSHIP_KEY, self.leadership_version, "no former leader renews grants");
+    }
+
     /// Reads the rows of all entries and maps, unless such a read is in flight.
     pub(super) fn read_rows(&mut self, now: Tick) {
         const READ_TIMEOUT: Duration = Duration::from_secs(2);
@@ -184,6 +207,12 @@
 
     /// Runs the periodic work of the leader: counts the entries, confirms the leadership and plans.
     pub(super) fn run_leader(&mut self, now: Tick) {
+        // An earlier process of this VM has ended, and an earlier leadership of this process with its
+        // last batch.
+        if self.grant_batches == 0 {
+            let own_vm = self.me.vm.clone();
+            self.confirm_former_leader(&own_vm, now);
+        }
         let Some(leadership) = &mut self.leadership else { return };
         let needs_row = leadership.planners.values().any(Planner::needs_row);
         let confirmation_due = now.since(leadership.confirmed_at) >= CONFIRMATION_INTERVAL;
@@ -265,6 +294,9 @@
                 let elected_at = leadership.started_at;
                 let mut planner = Planner::new(service.name.clone(), config, map, elected_at);
                 planner.record_row(self.stored_maps.get(&service.name).cloned());
+                if let Some(ended_at) = leadership.former_leaders_ended_at {
+                    planner.record_former_leaders_ended(ended_at);
+                }
                 planner
             });
         }
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -99,6 +99,7 @@
                     return;
                 }
             };
+        self.grant_batches += 1;
         let (grant_duration, inputs) =
             (self.shared.settings.hold.as_duration(), self.inputs.clone());
         tokio::task::spawn_local(async move {
@@ -117,6 +118,7 @@
         connection: Option<Connection>,
         now: Tick,
     ) {
+        self.grant_batches -= 1;
         for (grant, outcome) in results {
             if *outcome != Outcome::Granted {
                 let outcome = format!("{outcome:?}");
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -38,6 +38,9 @@
     /// Records the report of another entry and returns what is newer here.
     pub(super) fn handle_report(&mut self, report: &Report, now: Tick) -> Reply {
         self.record_report(report, now);
+        if report.orders_ended && report.leadership == self.leadership_version {
+            self.confirm_former_leader(&report.vm, now);
+        }
         self.record_heard_limits(report, now);
         let resigning = self.is_store_unavailable(now);
         let leads = self.leadership.is_some();
--- a/crates/hold/src/ledger.rs
+++ b/crates/hold/src/ledger.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    /// Records that every grant that was sent so far expires at `until` at the latest.
+    pub fn limit(&mut self, until: Tick) {
+        for entry in self.parts.iter_mut().flatten() {
+            if let Validity::Until(expiry) = &mut entry.validity {
+                *expiry = until.min(*expiry);
+            }
+        }
+    }
+
     /// Removes the grants that have expired.
     pub fn expire(&mut self, now: Tick) {
         for entries in &mut self.parts {
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -238,6 +238,12 @@
         self.row_version
     }
 
+    /// Records that since `ended_at` no former leader renews grants any more, so that the last of
+    /// them need not be assumed to come at the end of its lease.
+    pub fn record_former_leaders_ended(&mut self, ended_at: Tick) {
+        self.ledger.limit(ended_at.plus(self.config.max_grant_validity()));
+    }
+
     /// Returns the load of the service, so that the caller can record what entries report.
     pub const fn load_mut(&mut self) -> &mut Load {
         &mut self.load
--- a/crates/hold/tests/model.rs
+++ b/crates/hold/tests/model.rs
@@ -135,3 +135,15 @@
     });
     assert!(is_detected, "a grant to a later instance was not detected");
 }
+
+#[test]
+fn a_former_leader_that_still_renews_is_detected() {
+    let faults = Faults { leader_partition: 0.05, partition_with_target: 1.0, ..NO_FAULTS };
+    let mutation = Mutation { unconfirmed_former_leaders: true, ..Mutation::default() };
+    let is_detected = (0..SEED_COUNT).any(|seed| {
+        let mut world = World::new(seed, faults, mutation);
+        world.run(FAULTY_PERIOD_MS, 0);
+        !world.overlaps.is_empty() || !world.stale_grants.is_empty()
+    });
+    assert!(is_detected, "a former leader that still renews caused no overlap");
+}
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -646,3 +646,35 @@
         }
     }
 }
+
+#[test]
+fn keys_of_a_target_lost_near_a_takeover_wait_for_its_last_grant_only() {
+    /// The longest time for which a grant can be in force after it was sent.
+    const MAX_VALIDITY_MS: u64 = 4_400;
+    let first = Fixture::new(3);
+    let map = first.planner.map().clone();
+    let lost = registration(1, 1, State::Ready).instance();
+    let taken_over_ms = first.now_ms;
+    for (former_ended, max_wait_ms) in
+        [(true, MAX_VALIDITY_MS), (false, LEADERSHIP_LEASE_MS + MAX_VALIDITY_MS)]
+    {
+        let registry = first.registry.clone();
+        let service = Service::from("keyed");
+        let planner = Planner::new(service, config(), Some(map.clone()), tick_at_ms(taken_over_ms));
+        let version = first.version;
+        let unreachable = Some(lost.clone());
+        let mut next = Fixture { planner, registry, now_ms: taken_over_ms, version, unreachable };
+        next.registry.remove(&lost.vm, tick_at_ms(next.now_ms));
+        if former_ended {
+            next.planner.record_former_leaders_ended(tick_at_ms(next.now_ms));
+        }
+        let is_held = |fixture: &Fixture| fixture.planner.map().held_by(&lost).next().is_some();
+        while is_held(&next) && next.now_ms - taken_over_ms < 2 * max_wait_ms {
+            let actions = next.advance(SETTLE_INTERVAL_MS);
+            next.carry_out(actions);
+        }
+        let waited_ms = next.now_ms - taken_over_ms;
+        assert!(waited_ms <= max_wait_ms + 500, "{former_ended}: {waited_ms} ms");
+        assert!(waited_ms + 500 >= max_wait_ms, "{former_ended}: {waited_ms} ms");
+    }
+}
--- a/crates/hold/tests/sim/mod.rs
+++ b/crates/hold/tests/sim/mod.rs
@@ -56,6 +56,8 @@
 pub struct Mutation {
     /// The leader sends commands without a valid leadership lease.
     pub unlimited_lease: bool,
+    /// A leader assumes at once that no former leader renews grants any more.
+    pub unconfirmed_former_leaders: bool,
     /// A connection that closed is replaced silently.
     pub silent_reconnect: bool,
 }
@@ -148,6 +150,8 @@
     /// The registry as it was when this leader was partitioned.
     last_registry: Registry,
     is_alive: bool,
+    /// Whether it was told that no former leader renews grants any more.
+    former_ended: bool,
 }
 
 /// One simulation.
@@ -347,6 +351,7 @@
             unreachable_target: (0, 0),
             last_registry: Registry::default(),
             is_alive: true,
+            former_ended: false,
         });
         let leader = self.leaders.len() - 1;
         self.schedule(10, Event::Tick(leader));
@@ -373,6 +378,7 @@
             leader.confirmed_at = now_ms;
             self.read_row(index);
         }
+        self.confirm_former_leaders(index);
         let has_unlimited_lease = self.mutation.unlimited_lease;
         let leader = &mut self.leaders[index];
         if now_ms - leader.confirmed_at < LEADERSHIP_LEASE_MS || has_unlimited_lease {
@@ -392,6 +398,24 @@
         self.schedule(TICK_INTERVAL_MS, Event::Tick(index));
     }
 
+    /// Tells a leader once that no former leader renews grants any more: all of them have ended or
+    /// know that they do not lead, and none of their commands is under way.
+    fn confirm_former_leaders(&mut self, index: usize) {
+        let is_of_former = |event: &Event| match event {
+            Event::SendGrants(batch) => batch.leader < index,
+            _ => false,
+        };
+        let may_renew = self.leaders[..index].iter().any(|leader| leader.is_alive)
+            || self.events.values().any(is_of_former);
+        if self.mutation.unconfirmed_former_leaders || !may_renew {
+            let now = tick_at_ms(self.now_ms);
+            let leader = &mut self.leaders[index];
+            if !std::mem::replace(&mut leader.former_ended, true) {
+                leader.planner.record_former_leaders_ended(now);
+            }
+        }
+    }
+
     fn target_index_of(&self, instance: &Instance) -> usize {
         self.targets.iter().position(|target| target.current_name == instance.vm).unwrap_or_else(
             || {
