--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -13,13 +13,16 @@
     limit::{Limit, Permit, Rate, Request, Word},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
+    tokio::time,
 };
 
 /// The path of the call with which entries ask for a permit.
 pub(crate) const PATH: &str = "/permit";
 
-/// The time that a coordinator may take to answer, during which a caller waits.
-const CALL_TIMEOUT: Duration = Duration::from_millis(80);
+/// The shortest and the longest time that a coordinator may take to answer. In between it is the time
+/// for which the request can wait for its permit.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(80);
+const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 const MAX_CALL_BYTES: usize = 4 << 10;
 
@@ -60,7 +63,7 @@
 
 /// The client with which the traffic thread asks coordinators.
 pub(crate) fn new_client() -> wire::Client {
-    wire::Config::default().timeout(CALL_TIMEOUT).build()
+    wire::Config::default().timeout(MAX_CALL_TIMEOUT).build()
 }
 
 /// Gets a permit for a request to a target; a target without a limit needs none.
@@ -105,11 +108,15 @@
         max_wait_ms: request.max_wait.as_millis() as u64,
         is_urgent: request.is_urgent,
     };
-    let reply = shared.permit_client.post::<_, Reply>(coordinator, PATH, &call).await;
-    if let Err(error) = &reply {
-        shared.log_permit_failure(target, coordinator, error);
-    }
-    reply.ok().map(Permit::from)
+    let timeout = request.max_wait.clamp(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT);
+    let reply = shared.permit_client.post::<_, Reply>(coordinator, PATH, &call);
+    let error = match time::timeout(timeout, reply).await {
+        Ok(Ok(reply)) => return Some(reply.into()),
+        Ok(Err(error)) => error.to_string(),
+        Err(elapsed) => elapsed.to_string(),
+    };
+    shared.log_permit_failure(target, coordinator, &error);
+    None
 }
 
 /// Takes a turn of this entry's even share of a limit.
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -114,15 +114,14 @@
         &self,
         target: &Instance,
         coordinator: SocketAddr,
-        error: &wire::Error,
+        error: &str,
     ) {
         #[derive(Serialize)]
         struct PermitFailureLine<'a> {
             target: &'a str,
             coordinator: SocketAddr,
-            error: String,
+            error: &'a str,
         }
-        let error = error.to_string();
         let line = PermitFailureLine { target: target.vm.as_str(), coordinator, error };
         self.journal.log("permit_failed", &line);
     }
