Grant released keys that go back to their holder

Cause: keys are released to be moved, the recipient is lost meanwhile, and the least busy target is the former holder itself. The reassignment was kept as long as the map named that holder, so that the same keys were assigned to it again with each round, and never granted, since keys that are being reassigned are withheld.

Why this works: a released reassignment ends with the write that assigns its keys, whoever gets them.

Evidence: hold::planner::released_keys_that_go_back_to_their_holder_are_ granted_again failed before ("has no holder") and passes.

--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -333,11 +333,14 @@
             map.assignments.iter().map(|assignment| assignment.fence).min().unwrap_or_default();
         // If every fence of the map is newer than all known ones, all of them have been renewed.
         self.fences_renewed |= oldest > self.newest_fence();
+        let written = Fence::from(map.version.get());
         self.reassignments.retain(|reassignment| {
-            let holder = map
-                .assignment(reassignment.span.first)
-                .and_then(|assignment| map.holder(assignment));
-            holder.is_some_and(|holder| holder.instance == reassignment.from)
+            let Some(assignment) = map.assignment(reassignment.span.first) else { return false };
+            let holder = map.holder(assignment);
+            // Released keys may have been assigned to their former holder again.
+            let is_assigned =
+                reassignment.state != ReleaseState::InFlight && assignment.fence == written;
+            !is_assigned && holder.is_some_and(|holder| holder.instance == reassignment.from)
         });
         let instances: BTreeSet<&Instance> =
             map.holders.iter().map(|holder| &holder.instance).collect();
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -678,3 +678,40 @@
         assert!(waited_ms + 500 >= max_wait_ms, "{former_ended}: {waited_ms} ms");
     }
 }
+
+#[test]
+fn released_keys_that_go_back_to_their_holder_are_granted_again() {
+    let mut fixture = Fixture::new(2);
+    for key in 0..400 {
+        fixture.planner.load_mut().record_requests(key, 1);
+    }
+    let actions = fixture.advance(SETTLE_INTERVAL_MS);
+    let (donor, span) = actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Release { instance, span, .. } => Some((instance.clone(), *span)),
+            _ => None,
+        })
+        .expect("busy keys are reassigned");
+    // The recipient is lost while the keys are being released.
+    let recipient = [1, 2].map(|number| registration(number, 1, State::Ready).instance());
+    let recipient = recipient.into_iter().find(|instance| *instance != donor).expect("another");
+    fixture.planner.record_instance_end(&recipient);
+    fixture.registry.remove(&recipient.vm, tick_at_ms(fixture.now_ms));
+    fixture.carry_out(actions);
+    let mut is_granted = false;
+    for _ in 0..20 {
+        let actions = fixture.advance(SETTLE_INTERVAL_MS);
+        is_granted |= actions.iter().any(|action| match action {
+            Action::Grant { instance, grants, .. } => {
+                *instance == donor && grants.iter().any(|grant| grant.span.contains(span.first))
+            }
+            _ => false,
+        });
+        fixture.carry_out(actions);
+    }
+    assert!(is_granted, "{span:?} of {donor:?} has no holder");
+    let actions = fixture.advance(SETTLE_INTERVAL_MS);
+    let has_write = actions.iter().any(|action| matches!(action, Action::Write(_)));
+    assert!(!has_write, "the same keys are assigned again and again");
+}
