Open connections to targets only while the leadership is fresh

Cause: a leader that is cut off from the store and its peers goes on for its lease. It had never reached that target, so it opened a connection and granted what its map said; meanwhile a successor had granted higher fences there, which the restarted target does not remember.

Why this works: over a connection that exists the target remembers what it has seen. A new one is opened only within 0.8 s after the store confirmed the leadership, by a read or a write under its condition, in which time a target cannot get a successor's grants and restart. Later grants are withheld, without counting as a failure, until the rows have been read.

--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -50,8 +50,8 @@
     CampaignResult { record: LeadershipRecord, commit: Commit },
     /// The peers have answered: how many get no replies from the leader, and whether any does.
     PollResult { unresponsive: usize, any_responsive: bool },
-    /// The write of a map has ended.
-    MapWritten { service: Service, commit: Commit },
+    /// The write of a map, sent at `sent_at`, has ended.
+    MapWritten { service: Service, commit: Commit, sent_at: Tick },
     /// Grants were sent; the connection is present if it can be reused.
     GrantResults {
         service: Service,
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -222,7 +222,9 @@
             Input::PollResult { unresponsive, any_responsive } => {
                 self.election.record_poll(unresponsive, any_responsive, self.entry_count, now);
             }
-            Input::MapWritten { service, commit } => self.handle_map_written(&service, commit, now),
+            Input::MapWritten { service, commit, sent_at } => {
+                self.handle_map_written(&service, commit, sent_at, now);
+            }
             Input::GrantResults { service, instance, results, connection } => {
                 self.handle_grant_results(&service, &instance, &results, connection, now);
             }
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -33,6 +33,11 @@
 /// still be renewing.
 pub(super) const LEADERSHIP_LEASE: Duration = Duration::from_secs(15);
 
+/// The time after the store last confirmed the leadership within which grants go over new connections.
+/// Later a successor may have granted keys to the target, and the target may have restarted: it then
+/// does not remember the successor's fences.
+pub(super) const CONNECT_LEASE: Duration = Duration::from_millis(800);
+
 /// The time between two reads by which the leader confirms its leadership.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(2_500);
 
@@ -57,7 +62,7 @@
 pub(super) struct Leadership {
     pub(super) started_at: Tick,
     /// When the last successful confirmation was sent; the leadership lease starts here.
-    confirmed_at: Tick,
+    pub(super) confirmed_at: Tick,
     /// When the confirmation in flight was sent.
     confirmation_sent_at: Option<Tick>,
     /// Whether all rows have been read since this process became the leader.
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -1,7 +1,10 @@
 //! Carrying out the actions of the planners: grants, releases and writes of maps.
 
 use {
-    super::State,
+    super::{
+        State,
+        leading::{CONNECT_LEASE, Leadership},
+    },
     crate::control::{feeds::send, input::Input, orders, peers::MapDelta, records::LEADERSHIP_KEY},
     hold::{
         Action, Instance, Map, Planner, Span, connections,
@@ -17,6 +20,23 @@
     std::net::SocketAddr,
 };
 
+impl Leadership {
+    /// Tells a planner that grants were not sent, and why.
+    fn record_unsent(
+        &mut self,
+        service: &Service,
+        instance: &Instance,
+        grants: Vec<Grant>,
+        outcome: Outcome,
+        now: Tick,
+    ) {
+        let results: Vec<_> = grants.into_iter().map(|grant| (grant, outcome)).collect();
+        if let Some(planner) = self.planners.get_mut(service) {
+            planner.record_grants(instance, &results, now);
+        }
+    }
+}
+
 /// The journal line about a grant or release.
 #[derive(Serialize)]
 struct OrderLine<'a> {
@@ -84,18 +104,21 @@
         address: SocketAddr,
         grants: Vec<Grant>,
     ) {
+        let now = Tick::now();
         let Some(leadership) = &mut self.leadership else { return };
+        let may_connect = now.since(leadership.confirmed_at) < CONNECT_LEASE;
         let checkout =
             match leadership.connections.check_out(&instance, |connection| !connection.is_closed())
             {
                 connections::Checkout::Reuse(connection) => orders::Checkout::Reuse(connection),
-                connections::Checkout::Connect => orders::Checkout::Connect,
+                connections::Checkout::Connect if may_connect => orders::Checkout::Connect,
+                connections::Checkout::Connect => {
+                    leadership.record_unsent(&service, &instance, grants, Outcome::Withheld, now);
+                    self.read_rows(now);
+                    return;
+                }
                 connections::Checkout::Closed => {
-                    let unsent: Vec<_> =
-                        grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
-                    if let Some(planner) = leadership.planners.get_mut(&service) {
-                        planner.record_grants(&instance, &unsent, Tick::now());
-                    }
+                    leadership.record_unsent(&service, &instance, grants, Outcome::Unsent, now);
                     return;
                 }
             };
@@ -177,6 +200,7 @@
             },
         ];
         self.log_plan(&service, map, "writing");
+        let sent_at = Tick::now();
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let commit = match store.commit(&writes).await {
@@ -184,7 +208,7 @@
                 Commit::Committed(version) if version.era() != era => Commit::Ambiguous,
                 commit => commit,
             };
-            send(&inputs, Input::MapWritten { service, commit }).await;
+            send(&inputs, Input::MapWritten { service, commit, sent_at }).await;
         });
     }
 
@@ -209,9 +233,18 @@
     }
 
     /// Passes the outcome of a write to the planner; applies and distributes a map that was
-    /// committed.
-    pub(super) fn handle_map_written(&mut self, service: &Service, commit: Commit, now: Tick) {
+    /// committed. It was committed on the condition that this process leads, which confirms that.
+    pub(super) fn handle_map_written(
+        &mut self,
+        service: &Service,
+        commit: Commit,
+        sent_at: Tick,
+        now: Tick,
+    ) {
         let Some(leadership) = &mut self.leadership else { return };
+        if matches!(commit, Commit::Committed(_)) && sent_at >= leadership.started_at {
+            leadership.confirmed_at = leadership.confirmed_at.max(sent_at);
+        }
         let Some(planner) = leadership.planners.get_mut(service) else { return };
         planner.record_write(match commit {
             Commit::Committed(version) => WriteOutcome::Committed(version),
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -116,8 +116,10 @@
 pub enum Outcome {
     /// The target holds the keys.
     Granted,
-    /// The command was not sent.
+    /// The command was not sent, since the target could not be reached.
     Unsent,
+    /// The command was not sent, since this process must first confirm that it leads.
+    Withheld,
     /// The target did not answer and may apply the command, now or later.
     Lost,
     /// The target has seen a higher fence: another process leads.
--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -126,7 +126,7 @@
         let mut fenced = false;
         for (grant, outcome) in outcomes {
             self.ledger.end_send(instance, grant.span);
-            if *outcome != Outcome::Unsent {
+            if !matches!(outcome, Outcome::Unsent | Outcome::Withheld) {
                 let session = self.sessions.entry(instance.clone()).or_default();
                 session.highest_fence = session.highest_fence.max(grant.fence);
             }
@@ -148,6 +148,7 @@
                     });
                     failed = true;
                 }
+                Outcome::Withheld => {}
                 Outcome::Unsent => failed = true,
                 Outcome::Refused => failed = true,
                 Outcome::Ended => {
@@ -157,8 +158,12 @@
                 Outcome::Fenced => fenced = true,
             }
         }
+        let is_withheld = |(_, outcome): &(Grant, Outcome)| *outcome == Outcome::Withheld;
         let session = self.sessions.entry(instance.clone()).or_default();
         session.in_flight = false;
+        if outcomes.iter().any(is_withheld) {
+            return fenced;
+        }
         session.answered_at = now;
         if failed {
             session.record_failure(now);
--- a/crates/hold/tests/model.rs
+++ b/crates/hold/tests/model.rs
@@ -75,11 +75,17 @@
     },
 ];
 
-fn seeds() -> std::ops::Range<u64> {
+/// Seeds beyond the first ones that once failed.
+const FAILED_SEEDS: [u64; 2] = [167, 194];
+
+fn seeds() -> Vec<u64> {
     let env_number = |name: &str| env::var(name).ok().and_then(|text| text.parse().ok());
     match env_number("ALMONDWORKS_SEED") {
-        Some(seed) => seed..seed + 1,
-        None => 0..env_number("ALMONDWORKS_RUNS").unwrap_or(SEED_COUNT),
+        Some(seed) => vec![seed],
+        None => {
+            let count = env_number("ALMONDWORKS_RUNS").unwrap_or(SEED_COUNT);
+            (0..count).chain(FAILED_SEEDS).collect()
+        }
     }
 }
 
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -679,6 +679,37 @@
     }
 }
 
+#[test]
+fn a_withheld_grant_is_sent_again_and_is_no_failure() {
+    let mut fixture = Fixture::new(2);
+    let lost = registration(2, 1, State::Ready).instance();
+    fixture.planner.record_instance_end(&lost);
+    fixture.registry.remove(&lost.vm, tick_at_ms(fixture.now_ms));
+    for outcome in [Outcome::Withheld, Outcome::Withheld, Outcome::Withheld, Outcome::Granted] {
+        let mut has_grants = false;
+        for _ in 0..10 {
+            for action in fixture.advance(SETTLE_INTERVAL_MS) {
+                match action {
+                    Action::Write(_) => fixture.commit_write(),
+                    Action::Grant { instance, grants, .. } => {
+                        has_grants = true;
+                        fixture.record_outcome(&instance, &grants, outcome);
+                    }
+                    Action::Release { instance, span, .. } => {
+                        fixture.planner.record_release(&instance, span, Err(Outcome::Unsent));
+                    }
+                }
+            }
+            if has_grants {
+                break;
+            }
+        }
+        assert!(has_grants, "{outcome:?}: the grants are not sent again");
+    }
+    let summary = fixture.planner.summary(&fixture.registry, tick_at_ms(fixture.now_ms));
+    assert_eq!(summary.failing, 0, "{summary:?}");
+}
+
 #[test]
 fn released_keys_that_go_back_to_their_holder_are_granted_again() {
     let mut fixture = Fixture::new(2);
--- a/crates/hold/tests/sim/mod.rs
+++ b/crates/hold/tests/sim/mod.rs
@@ -20,6 +20,8 @@
 pub const LEADERSHIP_LEASE_MS: u64 = 6_000;
 const GRANT_TIMEOUT_MS: u64 = 400;
 const RELEASE_TIMEOUT_MS: u64 = 2_000;
+/// The time after a confirmation within which a leader opens connections to targets.
+const CONNECT_LEASE_MS: u64 = 800;
 const TICK_INTERVAL_MS: u64 = 100;
 const HOT_KEY_COUNT: u16 = 24;
 /// How long the range of hot keys stays the same.
@@ -150,6 +152,8 @@
     /// The registry as it was when this leader was partitioned.
     last_registry: Registry,
     is_alive: bool,
+    /// Whether it confirms in the store at its next tick that it leads.
+    needs_confirmation: bool,
     /// Whether it was told that no former leader renews grants any more.
     former_ended: bool,
 }
@@ -351,6 +355,7 @@
             unreachable_target: (0, 0),
             last_registry: Registry::default(),
             is_alive: true,
+            needs_confirmation: false,
             former_ended: false,
         });
         let leader = self.leaders.len() - 1;
@@ -368,9 +373,10 @@
             self.schedule(delay_ms, Event::Tick(index));
             return;
         }
-        if leader.partitioned_until <= now_ms
-            && now_ms - leader.confirmed_at >= CONFIRMATION_INTERVAL_MS
-        {
+        let is_confirmation_due =
+            leader.needs_confirmation || now_ms - leader.confirmed_at >= CONFIRMATION_INTERVAL_MS;
+        if leader.partitioned_until <= now_ms && is_confirmation_due {
+            leader.needs_confirmation = false;
             if leader.term != self.current_term {
                 leader.is_alive = false;
                 return;
@@ -438,6 +444,7 @@
                     && (unreachable_target.0 != target_index
                         || unreachable_target.1 <= self.now_ms);
                 let leader = &mut self.leaders[index];
+                let may_connect = self.now_ms - leader.confirmed_at < CONNECT_LEASE_MS;
                 let mut checkout = leader
                     .connections
                     .check_out(&instance, |connection| *connection == incarnation);
@@ -446,6 +453,13 @@
                 }
                 let connection = match checkout {
                     Checkout::Reuse(connection) => Some(connection),
+                    Checkout::Connect if !may_connect => {
+                        let withheld: Vec<_> =
+                            grants.into_iter().map(|grant| (grant, Outcome::Withheld)).collect();
+                        leader.planner.record_grants(&instance, &withheld, tick_at_ms(self.now_ms));
+                        leader.needs_confirmation = true;
+                        return;
+                    }
                     // A new connection names the target that it is for.
                     Checkout::Connect
                         if is_reachable
