Count on no former leader of the lost time

Found by reading: a process that leads again in a new era and learns from its peers of another leader in the lost time took that one for ended, if it had heard from all that it knew itself. Its record could not name the other. It now waits for the whole lease then, as before the former leaders were asked. No test shows it: it takes a takeover in the lost time whose leader is cut off from store and peers at the return.

--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -94,6 +94,15 @@
 }
 
 impl Leadership {
+    /// Drops the planners, whose ledgers lack the grants of another leader. That leader is not among
+    /// the former ones that this process knew when it took over.
+    pub(super) fn start_over(&mut self, now: Tick) {
+        self.planners.clear();
+        self.started_at = now;
+        self.unconfirmed_leaders = None;
+        self.former_leaders_ended_at = None;
+    }
+
     /// Makes the next read of the rows due at once.
     pub(super) const fn forget_confirmation(&mut self) {
         self.confirmation_sent_at = None;
--- a/crates/edge/src/control/state/recovery.rs
+++ b/crates/edge/src/control/state/recovery.rs
@@ -179,8 +179,7 @@
             "waits for forgotten grants to run out"
         } else {
             if has_news {
-                leadership.planners.clear();
-                leadership.started_at = now;
+                leadership.start_over(now);
             }
             leadership.recovery = Recovery::Done;
             "continues with what the entries know"
