Listen on loopback addresses of its own in each test process

A test took a port that was free when it looked, and another process had it when the target bound: 'Address already in use', then 'did not happen: a target listens', in two tests of crate trial so far. Any test that starts processes could fail so.

Each test process now listens on a loopback address that contains its process id, so no other process takes a port there, and hands out each port once. The collision was traced from the logs of the failed run; it was not provoked again before the change.

--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Caller, FleetPlan, KEYED,
-        process::{Process, free_port},
+        process::{Process, free_address},
     },
     key::{Incarnation, Vm, Zone},
     serde_json::{Value, json},
@@ -125,14 +125,15 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// Binds a listener to a free port, retrying if another process takes the port first.
-pub(crate) async fn bind_free_port() -> (TcpListener, SocketAddr) {
-    loop {
-        let address = loopback(free_port());
-        if let Ok(listener) = TcpListener::bind(address).await {
-            return (listener, address);
-        }
-    }
+/// Binds a listener to a free address.
+///
+/// # Panics
+///
+/// Panics if the address cannot be bound.
+pub(crate) async fn bind_free_address() -> (TcpListener, SocketAddr) {
+    let address = free_address();
+    let listener = TcpListener::bind(address).await.expect("the address cannot be bound");
+    (listener, address)
 }
 
 impl Fleet {
@@ -181,7 +182,7 @@
         zone: Option<usize>,
         name: &str,
     ) -> SocketAddr {
-        let (listener, address) = bind_free_port().await;
+        let (listener, address) = bind_free_address().await;
         let proxy = Arc::new(Proxy::default());
         tokio::spawn(Arc::clone(&proxy).forward_connections(listener, destination));
         self.proxies.push(ProcessProxy { proxy, zone, name: name.to_owned() });
@@ -189,7 +190,7 @@
     }
 
     async fn start_platform(&mut self) -> SocketAddr {
-        let (listener, address) = bind_free_port().await;
+        let (listener, address) = bind_free_address().await;
         tokio::spawn(Arc::clone(&self.platform).serve(listener));
         self.start_proxy(address, None, "platform").await
     }
@@ -214,7 +215,7 @@
     pub async fn add_target(&mut self, service: &str, zone: usize) -> usize {
         let index = self.targets.len();
         let vm = Vm::from(format!("{service}-{}{index}", zone_name(zone)).as_str());
-        let address = loopback(free_port());
+        let address = free_address();
         let proxied_address = if self.plan.proxied {
             self.start_proxy(address, Some(zone), vm.as_str()).await
         } else {
@@ -253,13 +254,12 @@
         for zone in 0..self.plan.zones {
             for number in 0..self.plan.entries_per_zone {
                 let vm = Vm::from(format!("entry-{}{number}", zone_name(zone)).as_str());
-                let peer_listen_address = loopback(free_port());
+                let peer_listen_address = free_address();
                 let proxied_address =
                     self.start_proxy(peer_listen_address, Some(zone), vm.as_str()).await;
                 let source_ip =
                     IpAddr::from(Ipv4Addr::new(127, 0, zone as u8 + 1, number as u8 + 1));
-                let (caller_address, operator_address) =
-                    (loopback(free_port()), loopback(free_port()));
+                let (caller_address, operator_address) = (free_address(), free_address());
                 let mut settings = json!({
                     "cluster": "trial", "vm": vm, "zone": zone_name(zone), "source": source_ip,
                     "listen": caller_address, "peer_listen": peer_listen_address,
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -5,7 +5,7 @@
     std::{
         env,
         fs::File,
-        net::TcpListener,
+        net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
         sync::atomic::{AtomicU16, Ordering},
@@ -17,21 +17,25 @@
 const FIRST_PORT: u16 = 12_000;
 const PORT_COUNT: u16 = 20_000;
 
+/// The second octet of the first loopback address that a test process listens on. The addresses
+/// from which entries connect have lower ones.
+const FIRST_OWN_NETWORK: u8 = 64;
+
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Returns a port that can be bound now and that no earlier call in this process returned.
-///
-/// Another process can take the port before the caller binds it.
-pub(crate) fn free_port() -> u16 {
+/// Returns the loopback address on which this test process and its child processes listen. It
+/// contains the process id, which has 22 bits at most, so no other process takes a port of it.
+fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, FIRST_OWN_NETWORK + high, middle, low)
+}
+
+/// Returns an address to listen on, which no earlier call in this process returned.
+pub(crate) fn free_address() -> SocketAddr {
     static NEXT_OFFSET: AtomicU16 = AtomicU16::new(0);
-    let start = (std::process::id() as u16).wrapping_mul(331) % PORT_COUNT;
-    loop {
-        let offset = NEXT_OFFSET.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start + offset % PORT_COUNT) % PORT_COUNT;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return port;
-        }
-    }
+    let offset = NEXT_OFFSET.fetch_add(1, Ordering::Relaxed);
+    assert!(offset < PORT_COUNT, "the tests of one process need more ports than there are");
+    SocketAddr::from((own_address(), FIRST_PORT + offset))
 }
 
 /// Returns the path of a program of this workspace in the build directory of the running test.
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -5,8 +5,8 @@
 use {
     crate::{
         eventually,
-        fleet::bind_free_port,
-        process::{Process, free_port},
+        fleet::bind_free_address,
+        process::{Process, free_address},
     },
     bytes::Bytes,
     http::{HeaderMap, Method, StatusCode},
@@ -166,11 +166,11 @@
         let dir = env::temp_dir().join(format!(
             "almondworks-site-{}-{}",
             std::process::id(),
-            free_port()
+            free_address().port()
         ));
         fs::create_dir_all(&dir).expect("the temporary directory cannot be created");
         let store = RowStore::new();
-        let (listener, store_address) = bind_free_port().await;
+        let (listener, store_address) = bind_free_address().await;
         tokio::spawn(Arc::clone(&store).serve(listener));
         let mut site = Self {
             store,
@@ -210,10 +210,10 @@
 
     async fn add_target(&mut self, index: usize, keyed: bool, store_address: SocketAddr) {
         let vm = format!("t{index}");
-        let listen_address = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let listen_address = free_address();
         let proxy = Arc::new(Proxy::default());
-        let (listener, registered_address) = bind_free_port().await;
-        let (admin_listener, _) = bind_free_port().await;
+        let (listener, registered_address) = bind_free_address().await;
+        let (admin_listener, _) = bind_free_address().await;
         tokio::spawn(Arc::clone(&proxy).serve(listener, listen_address, admin_listener));
         let service = if keyed { "catalogue" } else { "orders" };
         let journal = self.dir.join(format!("{vm}.journal"));
@@ -240,7 +240,7 @@
 
     fn add_entry(&mut self, index: usize, grant_duration_ms: u64, store_address: SocketAddr) {
         let [caller_address, ready_address, peer_address, metrics_address] =
-            [(); 4].map(|()| SocketAddr::from(([127, 0, 0, 1], free_port())));
+            [(); 4].map(|()| free_address());
         let vm = format!("e{index}");
         let settings = json!({
             "vm": vm,
