--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -10,6 +10,7 @@
     hold::staleness::{PollTiming, Staleness},
     key::{Version, clock::Tick},
     platform::store::{Error, Rows, Store, Table},
+    serde::Serialize,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc::Sender, watch},
@@ -64,23 +65,51 @@
     }
 }
 
+/// Logs that a table could not be read or polled, `sent_at` after the call was made.
+fn log_failure(shared: &Shared, table: Table, sent_at: Tick, error: Error) {
+    #[derive(Serialize)]
+    struct FailureLine {
+        table: &'static str,
+        after_ms: u64,
+        error: String,
+    }
+    let after_ms = Tick::now().since(sent_at).as_millis() as u64;
+    let line = FailureLine { table: table.name(), after_ms, error: error.to_string() };
+    shared.counters.count("store_reads_failed", table.name());
+    shared.journal.log("read_failed", &line);
+}
+
 /// Follows the operators' table; never returns.
-pub(crate) async fn follow_operator(store: Store, inputs: Sender<Input>, mut outages: OutageCount) {
+pub(crate) async fn follow_operator(
+    store: Store,
+    inputs: Sender<Input>,
+    mut outages: OutageCount,
+    shared: Arc<Shared>,
+) {
     loop {
-        let Ok(rows) = store.read(Table::Operator).await else {
-            time::sleep(RETRY_INTERVAL).await;
-            continue;
+        let sent_at = Tick::now();
+        let rows = match store.read(Table::Operator).await {
+            Ok(rows) => rows,
+            Err(error) => {
+                log_failure(&shared, Table::Operator, sent_at, error);
+                time::sleep(RETRY_INTERVAL).await;
+                continue;
+            }
         };
         let mut version = rows.version;
         send(&inputs, Input::OperatorRows(rows.rows)).await;
         loop {
+            let sent_at = Tick::now();
             match next_rows(&store, Table::Operator, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
                     send(&inputs, Input::OperatorRows(rows.rows)).await;
                 }
                 Err(Error::Compacted) => break,
-                Err(Error::Unavailable) => time::sleep(RETRY_INTERVAL).await,
+                Err(error @ Error::Unavailable) => {
+                    log_failure(&shared, Table::Operator, sent_at, error);
+                    time::sleep(RETRY_INTERVAL).await;
+                }
             }
         }
     }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -68,6 +68,7 @@
         feed.0.clone(),
         feed.1.clone(),
         outages.clone(),
+        Arc::clone(&context.shared),
     ));
     tokio::task::spawn_local(feeds::follow_entries(
         feed.0,
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -14,7 +14,7 @@
     futures::future::join_all,
     hold::{Instance, Map, Registration, map::Delta},
     http::{Method, Request, StatusCode},
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     key::{Era, Incarnation, Service, Version, Vm, clock::Tick},
     limit::{Rate, Word},
     route::quarantine::CrashReport,
@@ -234,11 +234,32 @@
     wire::serve(listener, handle).await;
 }
 
-/// Handles one call of a peer.
+/// Handles one call of a peer, and counts the bytes of its body and of the reply.
 async fn handle_call(
     request: Request<Incoming>,
     inputs: Sender<Input>,
     shared: Arc<Shared>,
+) -> wire::Reply {
+    let call = call_name(request.uri().path());
+    let received = request.body().size_hint().exact().unwrap_or_default();
+    shared.counters.add("peer_bytes_received", call, received);
+    let reply = answer_call(request, inputs, Arc::clone(&shared)).await;
+    let sent = reply.body().size_hint().exact().unwrap_or_default();
+    shared.counters.add("peer_bytes_sent", call, sent);
+    reply
+}
+
+/// Returns the label of a call in the metrics.
+fn call_name(path: &str) -> &'static str {
+    let names = [permit::PATH, REPORT_PATH, CHANGE_PATH, LEADER_PATH, HELLO_PATH, KNOWLEDGE_PATH];
+    names.into_iter().find(|name| *name == path).unwrap_or("other")
+}
+
+/// Answers one call of a peer.
+async fn answer_call(
+    request: Request<Incoming>,
+    inputs: Sender<Input>,
+    shared: Arc<Shared>,
 ) -> wire::Reply {
     match request.uri().path() {
         permit::PATH if request.method() == Method::POST => {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -42,7 +42,12 @@
 impl Counters {
     /// Adds one to the counter of a name and a label.
     pub(crate) fn count(&self, name: &'static str, label: &str) {
-        *lock(&self.counts).entry((name, label.to_owned())).or_default() += 1;
+        self.add(name, label, 1);
+    }
+
+    /// Adds `amount` to the counter of a name and a label.
+    pub(crate) fn add(&self, name: &'static str, label: &str, amount: u64) {
+        *lock(&self.counts).entry((name, label.to_owned())).or_default() += amount;
     }
 
     /// Sets a gauge.
--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -9,7 +9,8 @@
         rt::{TokioIo, TokioTimer},
         server::graceful::GracefulShutdown,
     },
-    std::{convert::Infallible, sync::Arc, time::Duration},
+    serde::Serialize,
+    std::{convert::Infallible, io, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -43,14 +44,30 @@
             _ = stop.wait_for(|stop| *stop) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(stream, &shared, &graceful),
-            Err(_) => time::sleep(ACCEPT_RETRY_INTERVAL).await,
+            Ok((stream, _)) => {
+                shared.counters.count("connections", "accepted");
+                serve_connection(stream, &shared, &graceful);
+            }
+            Err(error) => {
+                log_failed_accept(&shared, &error);
+                time::sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
         }
     }
     drop(listener);
     time::timeout(timeout, graceful.shutdown()).await.is_ok()
 }
 
+/// Logs that a new connection could not be accepted, such as for lack of file descriptors.
+fn log_failed_accept(shared: &Shared, error: &io::Error) {
+    #[derive(Serialize)]
+    struct FailedAcceptLine {
+        error: String,
+    }
+    shared.counters.count("connections", "failed");
+    shared.journal.log("accept_failed", &FailedAcceptLine { error: error.to_string() });
+}
+
 /// Serves one connection in a task of its own.
 fn serve_connection(stream: TcpStream, shared: &Arc<Shared>, graceful: &GracefulShutdown) {
     if stream.set_nodelay(true).is_err() {
@@ -59,6 +76,7 @@
     let routing = shared.snapshot.load().routing.clone();
     let idle_timeout = routing
         .map_or(DEFAULT_IDLE_TIMEOUT, |routing| Duration::from_millis(routing.limits.idle_ms));
+    let counted = Arc::clone(shared);
     let shared = Arc::clone(shared);
     let service = service_fn(move |request| {
         let response = handle::handle_request(Arc::clone(&shared), request);
@@ -73,6 +91,7 @@
     tokio::spawn(async move {
         // An error means that the caller has disconnected; there is nobody to report it to.
         watched.await.ok();
+        counted.counters.count("connections", "closed");
     });
 }
 
