--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -124,12 +124,14 @@
     Route { prefix: "/orders/", kind: "unsafe", service: "orders" },
 ];
 
-#[derive(Debug)]
 struct Entry {
     caller_address: SocketAddr,
     ready_address: SocketAddr,
+    peer_address: SocketAddr,
     metrics_address: SocketAddr,
     settings_path: PathBuf,
+    /// The proxy between the entry and the store.
+    store_proxy: Arc<Proxy>,
     process: Option<Process>,
 }
 
@@ -187,7 +189,7 @@
         }
         site.wait_until_targets_listen().await;
         for index in 0..plan.entries {
-            site.add_entry(index, plan.grant_duration_ms, store_address);
+            site.add_entry(index, plan.grant_duration_ms, store_address).await;
         }
         for index in 0..plan.entries {
             for key in (0..=u16::MAX).step_by(8_191) {
@@ -238,7 +240,10 @@
         self.targets.push(Target { listen_address, registered_address, arguments, proxy, process });
     }
 
-    fn add_entry(&mut self, index: usize, grant_duration_ms: u64, store_address: SocketAddr) {
+    async fn add_entry(&mut self, index: usize, grant_duration_ms: u64, store_address: SocketAddr) {
+        let store_proxy = Arc::new(Proxy::default());
+        let (proxy_listener, proxied_store_address) = bind_free_address().await;
+        tokio::spawn(Arc::clone(&store_proxy).forward_connections(proxy_listener, store_address));
         let [caller_address, ready_address, peer_address, metrics_address] =
             [(); 4].map(|()| free_address());
         let vm = format!("e{index}");
@@ -249,7 +254,7 @@
             "ready_listen": ready_address,
             "peer_listen": peer_address,
             "metrics_listen": metrics_address,
-            "store": store_address,
+            "store": proxied_store_address,
             "grace": "6s",
             "leaving": "2s",
             "hold_limit": "10s",
@@ -259,8 +264,15 @@
         let settings_path = self.dir.join(format!("{vm}.jsonc"));
         fs::write(&settings_path, settings.to_string())
             .expect("the settings file cannot be written");
-        let entry =
-            Entry { caller_address, ready_address, metrics_address, settings_path, process: None };
+        let entry = Entry {
+            caller_address,
+            ready_address,
+            peer_address,
+            metrics_address,
+            settings_path,
+            store_proxy,
+            process: None,
+        };
         self.entries.push(entry);
         self.start_entry(index);
     }
@@ -273,6 +285,17 @@
         self.entries[index].process = Some(process);
     }
 
+    /// Replaces the faults of the proxy between an entry and the store.
+    pub fn set_store_proxy_fault(&self, index: usize, fault: proxy::Fault) {
+        self.entries[index].store_proxy.set_fault(fault);
+    }
+
+    /// Returns the address at which an entry serves other entries.
+    #[must_use]
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.entries[index].peer_address
+    }
+
     /// Returns the path of an entry's log file.
     #[must_use]
     pub fn entry_log_path(&self, index: usize) -> PathBuf {
@@ -357,6 +380,24 @@
         self.store.write_row("op", "config", routing.to_string().as_bytes());
     }
 
+    /// Writes a version of the routing configuration that has `filler` routes more, which no request
+    /// uses.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in makes a routing text without hosts.
+    pub fn write_large_routing(&self, version: u64, routes: &[Route], filler: usize) {
+        let mut routing = caller::routing_text(version, HOST_HEADER, routes);
+        let paths = routing["hosts"][0]["paths"].as_array_mut().expect("a list of paths");
+        let mut filler_route = paths[0].clone();
+        for number in 0..filler {
+            filler_route["name"] = format!("filler-{number}").into();
+            filler_route["pathPrefix"] = format!("/filler-{number}/").into();
+            paths.push(filler_route.clone());
+        }
+        self.store.write_row("op", "config", routing.to_string().as_bytes());
+    }
+
     /// Sends a request to an entry and reads the whole response.
     pub async fn send(&self, entry: usize, request: &SiteRequest) -> SiteResponse {
         let id = format!("{:016x}", self.next_request_id.fetch_add(1, Ordering::Relaxed));
@@ -413,9 +454,14 @@
     ///
     /// Panics if the entry does not answer.
     pub async fn metrics(&self, entry: usize) -> String {
+        self.metrics_if_running(entry).await.expect("the entry did not return its metrics")
+    }
+
+    /// Returns the metrics of an entry in the text format, or `None` if it does not answer.
+    pub async fn metrics_if_running(&self, entry: usize) -> Option<String> {
         let address = self.entries[entry].metrics_address;
         let text = self.control_client.send(Method::GET, address, "/metrics", Bytes::new()).await;
-        String::from_utf8_lossy(&text.expect("the entry did not return its metrics")).into_owned()
+        Some(String::from_utf8_lossy(&text.ok()?).into_owned())
     }
 
     /// Returns the lines of the journals of all targets.
