Give a response the time that it needs while it makes progress

Callers saw entries on slow links that stayed unready, or answered by an old routing configuration for good. A read of the store ended one second after it was sent, whatever its size; a configuration of 4,200 routes has 1.1 MB, more than a link of 10 Mbit/s carries in that time. The entry read it again 200 ms later, and filled its link with bytes that it threw away.

Class of fault: a fixed time for a transfer whose size nobody bounds.

The client now limits the time to the head of a response, then the time without a further byte, and the whole transfer (20 s). Exchanges of bounded size keep their one limit.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -2,25 +2,33 @@
 
 use {
     crate::{Error, ErrorKind},
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Method, Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
+    hyper::body::Incoming,
     hyper_util::{
         client::legacy::{self, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{
+        fmt,
         net::{IpAddr, SocketAddr},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time,
 };
 
+/// Any error of reading a body.
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const DEFAULT_MAX_RESPONSE_BYTES: usize = 64 << 20;
 
+/// The longest time for the body of a response that may take as long as it makes progress.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(20);
+
 /// The maximum size of a target's response to control traffic, in bytes.
 const MAX_TARGET_RESPONSE_BYTES: usize = 64 << 10;
 const MAX_IDLE_CONNECTIONS_PER_HOST: usize = 2;
@@ -40,6 +48,7 @@
 pub struct Config {
     timeout: Duration,
     connect_timeout: Duration,
+    stall_timeout: Option<Duration>,
     max_response_bytes: usize,
     source: Option<IpAddr>,
 }
@@ -49,6 +58,7 @@
         Self {
             timeout: DEFAULT_TIMEOUT,
             connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            stall_timeout: None,
             max_response_bytes: DEFAULT_MAX_RESPONSE_BYTES,
             source: None,
         }
@@ -63,6 +73,15 @@
         self
     }
 
+    /// Sets the time for which the body of a response may bring no further byte. The timeout of the
+    /// request then ends with the head of the response, so that a large body has the time that its
+    /// link needs, up to a fixed limit.
+    #[must_use]
+    pub const fn stall_timeout(mut self, timeout: Option<Duration>) -> Self {
+        self.stall_timeout = timeout;
+        self
+    }
+
     /// Sets the timeout of opening a connection.
     #[must_use]
     pub const fn connect_timeout(mut self, timeout: Duration) -> Self {
@@ -192,28 +211,36 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| Error::new(ErrorKind::Unsent, Some(address), error))?;
-        let pending = self.send_request(address, request);
-        match time::timeout(self.config.timeout, pending).await {
-            Ok(result) => result,
-            Err(error) => Err(Error::new(ErrorKind::Ambiguous, Some(address), error)),
-        }
-    }
-
-    async fn send_request(
-        &self,
-        address: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, Error> {
-        let response = self.inner.request(request).await.map_err(|error| {
+        let ambiguous =
+            |error: &dyn fmt::Display| Error::new(ErrorKind::Ambiguous, Some(address), error);
+        let started_at = Instant::now();
+        let response = time::timeout(self.config.timeout, self.inner.request(request)).await;
+        let response = response.map_err(|error| ambiguous(&error))?.map_err(|error| {
             let kind = if error.is_connect() { ErrorKind::Unsent } else { ErrorKind::Ambiguous };
             Error::new(kind, Some(address), error)
         })?;
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, self.config.max_response_bytes)
-            .collect()
-            .await
-            .map_err(|error| Error::new(ErrorKind::Ambiguous, Some(address), error))?;
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        let body = match self.config.stall_timeout {
+            Some(stall) => time::timeout(MAX_TRANSFER_TIME, self.read_body(body, stall)).await,
+            None => {
+                let left = self.config.timeout.saturating_sub(started_at.elapsed());
+                time::timeout(left, self.read_body(body, left)).await
+            }
+        };
+        let body = body.map_err(|error| ambiguous(&error))?.map_err(|error| ambiguous(&error))?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Reads a body that brings some bytes at least every `stall`.
+    async fn read_body(&self, body: Incoming, stall: Duration) -> Result<Bytes, BoxError> {
+        let mut body = Limited::new(body, self.config.max_response_bytes);
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = time::timeout(stall, body.frame()).await? {
+            if let Ok(data) = frame?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok(bytes.freeze())
     }
 }
 
