Tell versions of the routing configuration, and fetch it only when behind

Cause: a report carried the whole routing configuration if the leader's was older at its last reply. At each change every entry did so at once. Above some size the copies took longer than the 400 ms of an exchange, so no reply came, the entries went on believing that the leader was behind, and sent the next copy: for as long as it led, and then to its successor. A reply carried the configuration the other way, as did the answers to a leader in a new era of the store.

Class of fault: a bulk copy on a heartbeat, repeated because it delays the answer that would end it.

Messages now carry versions. An entry that has been behind for 700 ms, or cannot read the store, fetches the configuration once at a time, from one of the strongest entries or the one that has it, and as long as bytes arrive.

--- a/crates/conf/src/platform_settings.rs
+++ b/crates/conf/src/platform_settings.rs
@@ -35,6 +35,10 @@
     pub grace: TimeSpan,
     /// The time for which a target may still get requests after the store marked it as leaving.
     pub leaving: TimeSpan,
+    /// The time within which an acknowledged routing configuration must be in force. A request that
+    /// no route matches is answered 404 only if no newer version existed at most this long ago.
+    #[serde(default = "default_routing_apply")]
+    pub routing_apply: TimeSpan,
     /// The retry budget that all entries share.
     pub retries: Retries,
     /// The maximum duration of a grant that targets accept.
@@ -65,6 +69,10 @@
     1.0
 }
 
+const fn default_routing_apply() -> TimeSpan {
+    TimeSpan::from_millis(2_000)
+}
+
 const fn default_hold() -> TimeSpan {
     TimeSpan::from_millis(7_500)
 }
--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -97,13 +97,15 @@
             }
         };
         let mut version = rows.version;
-        send(&inputs, Input::OperatorRows(rows.rows)).await;
+        send(&inputs, Input::OperatorRows { rows, at: sent_at }).await;
         loop {
             let sent_at = Tick::now();
             match next_rows(&store, Table::Operator, version, &mut outages).await {
                 Ok(rows) => {
                     version = rows.version;
-                    send(&inputs, Input::OperatorRows(rows.rows)).await;
+                    // The store answers a long poll when something changes or the wait is over.
+                    let at = if rows.rows.is_empty() { sent_at } else { Tick::now() };
+                    send(&inputs, Input::OperatorRows { rows, at }).await;
                 }
                 Err(Error::Compacted) => break,
                 Err(error @ Error::Unavailable) => {
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -5,6 +5,7 @@
         peers::{Hello, Knowledge, KnowledgeQuery, MapDelta, Reply, Report},
         records::LeadershipRecord,
     },
+    conf::routing::Routing,
     hold::{
         Instance, Span,
         planner::{Grant, Outcome},
@@ -12,10 +13,10 @@
     key::{Era, Service, Version, Vm, clock::Tick},
     platform::{
         order::Connection,
-        store::{Commit, Row, Rows},
+        store::{Commit, Rows},
     },
     smol_str::SmolStr,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::sync::oneshot,
 };
 
@@ -24,8 +25,11 @@
 pub(crate) enum Input {
     /// Time has passed; periodic work may be due.
     Tick,
-    /// Rows of the operators' table have changed.
-    OperatorRows(Vec<Row>),
+    /// The store has answered which rows of the operators' table have changed; they are the newest
+    /// ones as of the time `at`.
+    OperatorRows { rows: Rows, at: Tick },
+    /// Another entry has answered with a newer routing configuration, or has none.
+    RoutingFetched { routing: Option<Routing> },
     /// Rows of the registry have changed, at most `lag` ago, or the registry was read in full.
     TargetRows { rows: Rows, complete: bool, lag: Duration },
     /// The registry could not be read.
@@ -43,7 +47,7 @@
     MemberWritten,
     /// The other entries have answered what they know, after this process won the leadership in
     /// `era`.
-    KnowledgeCollected { era: Era, answers: Vec<Knowledge> },
+    KnowledgeCollected { era: Era, answers: Vec<(SocketAddr, Knowledge)> },
     /// A peer that won the leadership in a new era asks what this process knows.
     Knowledge { query: KnowledgeQuery, reply_to: oneshot::Sender<Knowledge> },
     /// The write of the leadership record has ended.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod peers;
 mod records;
+mod routing;
 mod state;
 
 use {
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -29,12 +29,16 @@
 /// The time one exchange with a peer may take.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The time for which a transfer may bring no further byte.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 const MAX_BODY_BYTES: usize = 1 << 20;
 const REPORT_PATH: &str = "/report";
 const CHANGE_PATH: &str = "/change";
 const LEADER_PATH: &str = "/lead";
 const HELLO_PATH: &str = "/hello";
 const KNOWLEDGE_PATH: &str = "/knowledge";
+const ROUTING_PATH: &str = "/routing";
 
 /// The number of requests for one key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -98,11 +102,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Report {
     pub(crate) vm: Vm,
+    /// The version of the routing configuration here. A leader that has an older one, such as from a
+    /// store that came back from a copy, fetches it.
     pub(crate) routing: Version,
-    /// The routing configuration, if it is newer than the leader's at its last reply: a leader that
-    /// has just started may have read an older one from a store that came back from a copy.
-    #[serde(default)]
-    pub(crate) newer_routing: Option<Routing>,
     pub(crate) maps: Vec<MapVersion>,
     /// Whether the reply should include the registry: the entry cannot reach the store, or knows no
     /// target.
@@ -176,10 +178,12 @@
     pub(crate) resigning: bool,
     /// The number of entries that report, the leader included.
     pub(crate) entries: usize,
-    pub(crate) routing: Option<Routing>,
     /// The version of the leader's routing configuration.
     #[serde(default)]
     pub(crate) routing_version: Version,
+    /// The time since this version was known to be the newest one, if it is.
+    #[serde(default)]
+    pub(crate) routing_age_ms: Option<u64>,
     pub(crate) maps: Vec<NewMap>,
     pub(crate) targets: Option<Vec<VersionedRegistration>>,
     #[serde(rename = "strikes")]
@@ -205,7 +209,6 @@
 pub(crate) struct KnowledgeQuery {
     pub(crate) era: Era,
     pub(crate) maps: Vec<MapVersion>,
-    pub(crate) routing: Version,
 }
 
 /// The answer: what an entry knows, as far as it is newer.
@@ -217,7 +220,9 @@
     /// The version of the newest leadership record of earlier eras that the entry knows.
     pub(crate) former_leadership: Version,
     pub(crate) maps: Vec<NewMap>,
-    pub(crate) routing: Option<Routing>,
+    /// The version of the entry's routing configuration.
+    #[serde(default)]
+    pub(crate) routing_version: Version,
 }
 
 /// The answer to a poll: what an entry knows of the leader.
@@ -251,7 +256,15 @@
 
 /// Returns the label of a call in the metrics.
 fn call_name(path: &str) -> &'static str {
-    let names = [permit::PATH, REPORT_PATH, CHANGE_PATH, LEADER_PATH, HELLO_PATH, KNOWLEDGE_PATH];
+    let names = [
+        permit::PATH,
+        REPORT_PATH,
+        CHANGE_PATH,
+        LEADER_PATH,
+        HELLO_PATH,
+        KNOWLEDGE_PATH,
+        ROUTING_PATH,
+    ];
     names.into_iter().find(|name| *name == path).unwrap_or("other")
 }
 
@@ -303,6 +316,14 @@
             send(&inputs, Input::Knowledge { query, reply_to }).await;
             reply_with(reply.await)
         }
+        ROUTING_PATH if request.method() == Method::POST => {
+            let Ok(known) = wire::read_json::<Version>(request, MAX_BODY_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            let routing = shared.snapshot.load().routing.clone();
+            let newer = routing.filter(|routing| routing.version > known);
+            wire::json(StatusCode::OK, &newer)
+        }
         HELLO_PATH => {
             let (reply_to, reply) = oneshot::channel();
             send(&inputs, Input::Hello { reply_to }).await;
@@ -323,11 +344,17 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Peers {
     client: wire::Client,
+    /// The client for transfers whose size grows with the configuration.
+    transfer_client: wire::Client,
 }
 
 impl Peers {
     pub(crate) fn new() -> Self {
-        Self { client: wire::Config::default().timeout(EXCHANGE_TIMEOUT).build() }
+        let config = wire::Config::default().timeout(EXCHANGE_TIMEOUT);
+        Self {
+            client: config.build(),
+            transfer_client: config.stall_timeout(Some(STALL_TIMEOUT)).build(),
+        }
     }
 
     /// Sends a report to the leader; returns `None` if the call fails.
@@ -335,6 +362,13 @@
         self.client.post(to, REPORT_PATH, report).await.ok()
     }
 
+    /// Fetches the routing configuration from another entry; returns `None` if the call fails or the
+    /// entry has none that is newer than `known`.
+    pub(crate) async fn fetch_routing(&self, from: SocketAddr, known: Version) -> Option<Routing> {
+        let newer = self.transfer_client.post(from, ROUTING_PATH, &known).await;
+        newer.ok().flatten()
+    }
+
     /// Sends a map delta to entries. One that cannot be reached gets the map with the reply to its
     /// next report.
     pub(crate) async fn push_delta(&self, members: Vec<SocketAddr>, delta: &MapDelta) {
@@ -365,8 +399,11 @@
         &self,
         members: Vec<SocketAddr>,
         query: &KnowledgeQuery,
-    ) -> Vec<Knowledge> {
-        let ask = |to| async move { self.client.post(to, KNOWLEDGE_PATH, query).await.ok() };
+    ) -> Vec<(SocketAddr, Knowledge)> {
+        let ask = |to| async move {
+            let answer = self.client.post(to, KNOWLEDGE_PATH, query).await.ok()?;
+            Some((to, answer))
+        };
         join_all(members.into_iter().map(ask)).await.into_iter().flatten().collect()
     }
 
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -12,6 +12,7 @@
 mod publishing;
 mod recovery;
 mod reporting;
+mod routing;
 
 use {
     crate::{
@@ -20,17 +21,17 @@
             input::Input,
             peers::{Hello, LimitRevision, MapDelta, Peers},
             records::{LEADERSHIP_KEY, LeadershipRecord, Member, RowKind, member_key},
+            routing::Copy as RoutingCopy,
         },
         shared::Shared,
         snapshot::TargetPool,
     },
-    conf::routing::Routing,
     hold::{Election, Map, Registration, Registry},
     key::{Era, Process, Service, Version, Vm, clock::Tick},
     leading::Leadership,
     platform::{
         Store,
-        store::{ROUTING_KEY, Row, Rows},
+        store::{Row, Rows},
         text,
     },
     route::quarantine::CrashReport,
@@ -76,7 +77,11 @@
     store: Store,
     inputs: Sender<Input>,
     peers: Peers,
-    routing: Option<Arc<Routing>>,
+    routing: RoutingCopy,
+    /// The version of the store up to which the operators' table has been read.
+    operator_rows_version: Version,
+    /// When the leader last asked the store whether the routing configuration is the newest one.
+    routing_checked_at: Tick,
     registry: Registry,
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
@@ -100,8 +105,6 @@
     former_leadership_version: Version,
     /// Whether this entry's own row is being written.
     joining: bool,
-    /// The version of the leader's routing configuration.
-    leader_routing: Version,
     /// Whether the table of entries has been read in full since the start.
     entries_read: bool,
     election: Election,
@@ -140,7 +143,9 @@
             store,
             inputs,
             peers: Peers::new(),
-            routing: None,
+            routing: RoutingCopy::default(),
+            operator_rows_version: Version::ZERO,
+            routing_checked_at: Tick::default(),
             registry: Registry::default(),
             registry_grew_at: None,
             maps: BTreeMap::new(),
@@ -155,7 +160,6 @@
             grant_batches: 0,
             former_leadership_version: Version::ZERO,
             joining: false,
-            leader_routing: Version::ZERO,
             entries_read: false,
             election: Election::new(now),
             resigning: false,
@@ -198,7 +202,8 @@
         self.observe_era(now);
         match input {
             Input::Tick => self.handle_tick(now),
-            Input::OperatorRows(rows) => self.apply_operator_rows(&rows),
+            Input::OperatorRows { rows, at } => self.apply_operator_rows(&rows, at),
+            Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
             Input::TargetRows { rows, complete, lag } => {
                 self.registry.record_poll(true, now);
                 self.registry.record_era(rows.version.era(), now);
@@ -273,6 +278,7 @@
             self.run_follower(now);
         }
         self.expire_limits(now);
+        self.fetch_routing(now);
         self.send_report(now);
         self.dirty |= self.registry.has_grace_period_within(GRACE_PERIOD_TAIL, now);
     }
@@ -302,32 +308,6 @@
         self.shared.journal.log("belief", &BeliefLine { subject, version: version.get(), detail });
     }
 
-    /// Applies the routing configuration from rows of the operators' table; ignores other rows.
-    fn apply_operator_rows(&mut self, rows: &[Row]) {
-        for row in rows.iter().filter(|row| row.key == ROUTING_KEY) {
-            let Some(value) = &row.value else { continue };
-            match text::parse_routing(value) {
-                Ok(routing) => self.apply_routing(routing, "read from the store"),
-                Err(error) => self.log_belief("routing", row.version, &error.to_string()),
-            }
-        }
-    }
-
-    /// Replaces the routing configuration by a newer one, and removes registrations of services
-    /// that it no longer names.
-    fn apply_routing(&mut self, routing: Routing, source: &str) {
-        let current = self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version);
-        if routing.version <= current {
-            return;
-        }
-        self.log_belief("routing", routing.version, source);
-        self.shared.counters.set("routing_version", routing.version.get());
-        let is_named = |service: &Service| routing.service(service).is_some();
-        self.registry.remove_if(|registration| !is_named(&registration.service));
-        self.routing = Some(Arc::new(routing));
-        self.dirty = true;
-    }
-
     /// Applies rows of the registry; they may have changed as early as `changed_at`.
     fn apply_target_rows(&mut self, rows: Vec<Row>, complete: bool, changed_at: Tick, now: Tick) {
         let registered_before = self.registry.len();
@@ -367,7 +347,7 @@
     /// known yet. A registration for another service was not written by the target itself, so it
     /// proves nothing about the address in it.
     fn knows_service(&self, registration: &Registration) -> bool {
-        let Some(routing) = &self.routing else { return true };
+        let Some(routing) = self.routing.routing() else { return true };
         routing.service(&registration.service).is_some()
     }
 
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -191,13 +191,9 @@
                 mean_ms: (sum / count).as_millis() as u64,
             })
         });
-        let leader_routing = self.leader_routing;
-        let newer_routing = (leader_routing != Version::ZERO && self.leadership.is_none())
-            .then(|| self.newer_routing(leader_routing));
         Report {
             vm: self.me.vm.clone(),
-            routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
-            newer_routing: newer_routing.flatten(),
+            routing: self.routing_version(),
             maps: self.map_versions(),
             wants_targets: self.wants_targets(now),
             load: load.into_iter().map(|(service, keys)| KeyLoad { service, keys }).collect(),
@@ -223,7 +219,13 @@
         let Some(reply) = reply else { return };
         let is_leader = self.leadership_record.as_ref().is_some_and(|record| record.vm == *leader);
         if reply.leads && is_leader {
-            self.leader_routing = reply.routing_version;
+            if let Some(leader) = self.leadership_record.as_ref().map(|record| record.address) {
+                self.hear_routing(reply.routing_version, leader, now);
+            }
+            if let Some(age_ms) = reply.routing_age_ms {
+                let age = Duration::from_millis(age_ms);
+                self.confirm_routing(reply.routing_version, self.reported_at.before(age));
+            }
             self.apply_limits(&reply, now);
             self.election.record_heartbeat(now);
             self.resigning = reply.resigning;
@@ -235,9 +237,6 @@
         for crash_report in reply.crash_reports {
             self.shared.quarantine().record_crash(crash_report, Instant::now());
         }
-        if let Some(routing) = reply.routing {
-            self.apply_routing(routing, "from the leader");
-        }
         for update in reply.maps {
             let map = Map { version: self.with_era(update.version), ..update.map };
             self.apply_map(update.service, map);
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -241,6 +241,7 @@
         if needs_row || confirmation_due || !has_read_rows {
             self.read_rows(now);
         }
+        self.check_routing(now);
         self.update_limits(now);
         self.plan(now);
     }
@@ -293,7 +294,7 @@
 
     /// Adds a planner for each keyed service that has none.
     fn add_planners(&mut self) {
-        let Some(routing) = self.routing.clone() else { return };
+        let Some(routing) = self.routing.routing().cloned() else { return };
         let config = planner::Config {
             grant_duration: self.shared.settings.hold.as_duration(),
             renewal_interval: GRANT_RENEWAL_INTERVAL,
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -64,7 +64,7 @@
             let targets = registrations.into_iter().map(to_target).collect();
             snapshot.holders.insert(service, Holders { map, targets });
         }
-        snapshot.routing.clone_from(&self.routing);
+        snapshot.routing = self.routing.routing().cloned();
         self.shared.publish(snapshot);
         self.pool.retain_used();
     }
--- a/crates/edge/src/control/state/recovery.rs
+++ b/crates/edge/src/control/state/recovery.rs
@@ -66,7 +66,7 @@
     pub(super) fn has_recovered(&mut self, now: Tick) -> bool {
         let era = self.leadership_version.era();
         let is_keyed = |service: &Service| {
-            let routing = self.routing.as_ref();
+            let routing = self.routing.routing();
             routing
                 .is_none_or(|routing| routing.service(service).is_some_and(|service| service.keyed))
         };
@@ -90,11 +90,7 @@
 
     /// Asks all other entries what they know.
     fn collect_knowledge(&self, era: Era) {
-        let query = KnowledgeQuery {
-            era,
-            maps: self.map_versions(),
-            routing: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
-        };
+        let query = KnowledgeQuery { era, maps: self.map_versions() };
         let others: Vec<SocketAddr> = self.other_entries();
         let (peers, inputs) = (self.peers.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
@@ -114,7 +110,7 @@
                 self.former_leadership_version
             },
             maps: self.maps_newer_than(&query.maps),
-            routing: self.newer_routing(query.routing),
+            routing_version: self.routing_version(),
         }
     }
 
@@ -151,13 +147,13 @@
         newer.collect()
     }
 
-    /// Returns the routing configuration if it is newer than version `known`.
-    pub(super) fn newer_routing(&self, known: Version) -> Option<conf::routing::Routing> {
-        self.routing.as_deref().filter(|routing| routing.version > known).cloned()
-    }
-
     /// Goes on with what all entries know, or waits until forgotten grants have run out.
-    pub(super) fn handle_knowledge(&mut self, era: Era, answers: Vec<Knowledge>, now: Tick) {
+    pub(super) fn handle_knowledge(
+        &mut self,
+        era: Era,
+        answers: Vec<(SocketAddr, Knowledge)>,
+        now: Tick,
+    ) {
         let recovery = self.leadership.as_ref().map(|leadership| leadership.recovery);
         if recovery != Some(Recovery::Collecting) || self.leadership_version.era() != era {
             return;
@@ -165,10 +161,10 @@
         // A process that has not answered may still renew grants that nobody here knows.
         let may_be_renewed = answers.len() + 1 < self.members.len();
         let has_lived = |first_era: Option<Era>| first_era.is_some_and(|first| first < era);
-        let lived_count = answers.iter().filter(|answer| has_lived(answer.first_era)).count()
+        let lived_count = answers.iter().filter(|(_, answer)| has_lived(answer.first_era)).count()
             + usize::from(has_lived(self.first_era));
         let is_complete = 2 * lived_count > self.members.len();
-        let has_news = self.apply_knowledge(answers);
+        let has_news = self.apply_knowledge(answers, now);
         let grant_duration = self.shared.settings.hold.as_duration();
         let validity = hold::planner::max_grant_validity(grant_duration, IN_FLIGHT_MARGIN);
         let Some(leadership) = &mut self.leadership else { return };
@@ -191,17 +187,15 @@
 
     /// Applies what other entries know, and returns true if any of it was news: another process may
     /// have led after this one, and its grants are not in the planners of this one.
-    fn apply_knowledge(&mut self, answers: Vec<Knowledge>) -> bool {
+    fn apply_knowledge(&mut self, answers: Vec<(SocketAddr, Knowledge)>, now: Tick) -> bool {
         let mut has_news = false;
-        for answer in answers {
+        for (address, answer) in answers {
             has_news |= answer.former_leadership > self.former_leadership_version;
             has_news |= !answer.maps.is_empty();
             for NewMap { service, version, map } in answer.maps {
                 self.apply_map(service, Map { version, ..map });
             }
-            if let Some(routing) = answer.routing {
-                self.apply_routing(routing, "from a peer");
-            }
+            self.hear_routing(answer.routing_version, address, now);
         }
         has_news
     }
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -3,7 +3,7 @@
 use {
     super::{RecentCrash, State},
     crate::control::peers::{Reply, Report, VersionedRegistration},
-    key::{Version, clock::Tick},
+    key::clock::Tick,
     std::time::Instant,
 };
 
@@ -47,9 +47,7 @@
         if let Some(leadership) = &mut self.leadership {
             leadership.last_report_at.insert(report.vm.clone(), now);
         }
-        if let Some(routing) = report.newer_routing.clone() {
-            self.apply_routing(routing, "from a report");
-        }
+        self.hear_reported_routing(&report.vm, report.routing, now);
         let targets = (report.wants_targets && !resigning).then(|| {
             let registered = self.registry.targets().filter(|target| target.is_registered());
             registered
@@ -65,8 +63,8 @@
             leads,
             resigning,
             entries: self.entry_count,
-            routing: self.newer_routing(report.routing),
-            routing_version: self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version),
+            routing_version: self.routing_version(),
+            routing_age_ms: self.routing.in_force_at().map(|at| now.since(at).as_millis() as u64),
             maps: self.maps_newer_than(&report.maps),
             targets,
             crash_reports: self.crash_reports.iter().map(|recent| recent.report).collect(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 */
 
 mod control;
+mod currency;
 mod error;
 mod metrics;
 mod permit;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,11 +1,11 @@
 //! The state that the traffic and the control thread share.
 
 use {
-    crate::{metrics::Counters, permit, snapshot::Snapshot},
+    crate::{currency::Currency, metrics::Counters, permit, snapshot::Snapshot},
     arc_swap::ArcSwap,
     conf::PlatformSettings,
     hold::Instance,
-    key::Service,
+    key::{Service, clock::Tick},
     limit::{Change, Rate, Table},
     report::Journal,
     route::{Quarantine, budget::Window, quarantine::CrashReport},
@@ -41,6 +41,8 @@
     /// one.
     pub(crate) snapshot_changed: watch::Sender<u64>,
     pub(crate) stopping: AtomicBool,
+    /// Whether the routing configuration is known to be in force.
+    pub(crate) currency: Currency,
     pub(crate) journal: Journal,
     pub(crate) counters: Counters,
     /// The client with which the traffic thread asks other entries for permits.
@@ -58,6 +60,7 @@
             snapshot: ArcSwap::default(),
             snapshot_changed: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
+            currency: Currency::default(),
             journal,
             counters: Counters::default(),
             permit_client: permit::new_client(),
@@ -78,6 +81,20 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns true if the lack of a route proves that the operators have configured none.
+    pub(crate) fn is_routing_in_force(&self) -> bool {
+        let limit = self.settings.routing_apply.as_duration();
+        self.currency.is_in_force(limit, Tick::now())
+    }
+
+    /// Returns true if this entry takes new callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let limit = self.settings.routing_apply.as_duration();
+        self.snapshot.load().is_ready()
+            && !self.is_stopping()
+            && self.currency.allows_callers(limit, Tick::now())
+    }
+
     /// Returns the feedback that traffic has recorded.
     pub(crate) fn feedback(&self) -> MutexGuard<'_, Feedback> {
         lock(&self.feedback)
--- a/crates/trial/tests/large_routing.rs
+++ b/crates/trial/tests/large_routing.rs
@@ -182,11 +182,11 @@
     site.wait_until_served(0, &SiteRequest::order()).await;
     site.kill_entry(1);
     site.start_entry(1);
-    eventually("the entry that starts reports", || async {
+    eventually("the entry that starts has the routing configuration of the store", || async {
         site.metrics_if_running(1).await.filter(|text| text.contains("routing_version 1"))
     })
     .await;
     let reports = leader.report_sizes().len();
-    leader.wait_for_reports(reports + 6).await;
+    leader.wait_for_reports(reports + 30).await;
     assert!(!site.is_ready(1).await, "an entry that has just started and is behind says ready");
 }
