Answer 404 and say ready only by a configuration that is in force

Class of fault: the lack of news taken for the lack of change.

An entry says ready once its configuration has been confirmed since its start, and no longer when it has known for that time that it is behind. One that hears nothing stays ready, so that a zone that is cut off goes on serving.

--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -121,7 +121,7 @@
     let snapshot = shared.snapshot.load_full();
     let routing = snapshot.routing.as_ref().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let (parts, incoming) = request.into_parts();
-    let route = find_route(routing, &parts)?.clone();
+    let route = find_route(shared, routing, &parts)?.clone();
     let service = choose::choose_service(&route, rand::random::<f64>())
         .ok_or(Refusal::not_run(Reason::UnknownService))?
         .clone();
@@ -139,11 +139,22 @@
     Ok(AdmittedRequest { route, service, keyed, key, fingerprint, call, arrived_at, id })
 }
 
-fn find_route<'a>(routing: &'a Routing, parts: &Parts) -> Result<&'a Route, Refusal> {
+/// Finds the route of a request. Without one, the request is refused for good only while the routing
+/// configuration is known to be in force.
+fn find_route<'a>(
+    shared: &Shared,
+    routing: &'a Routing,
+    parts: &Parts,
+) -> Result<&'a Route, Refusal> {
     let host_header = parts.headers.get(standard::HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(host_header).unwrap_or_default();
     let index = routing.route_index(host, parts.uri.path());
-    index.map(|index| &routing.routes[index]).ok_or(Refusal::not_run(Reason::UnknownService))
+    let reason = if shared.is_routing_in_force() {
+        Reason::UnknownService
+    } else {
+        Reason::OutdatedConfiguration
+    };
+    index.map(|index| &routing.routes[index]).ok_or(Refusal::not_run(reason))
 }
 
 async fn read_body(incoming: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -104,7 +104,7 @@
     let is_ready_path = request.uri().path() == platform::header::READY_PATH;
     *response.status_mut() = if !is_ready_path {
         StatusCode::NOT_FOUND
-    } else if shared.snapshot.load().is_ready() && !shared.is_stopping() {
+    } else if shared.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -31,6 +31,10 @@
     /// The entry has no routing configuration yet.
     #[display("no-configuration")]
     NoConfiguration,
+    /// The request matches no route, but the entry does not know whether its routing configuration
+    /// is in force.
+    #[display("outdated-configuration")]
+    OutdatedConfiguration,
     /// The request matches no configured service.
     #[display("unknown-service")]
     UnknownService,
