Send a request to the same target again over a new connection only

Here: a request that its target had refused was sent there again over the same connection, and the second copy of the refusal, which has the request's own id, was taken for the answer to the second attempt.

An id tells the answers of two requests apart, not those of two attempts at one request. So an attempt at a target that got the request before uses a new connection. Under the product's own conventions each attempt has an id of its own.

Evidence: a_refusal_written_again_is_no_proof_that_a_request_has_not_run failed before (a 503 for an order that had run) and passes. a_head_that_ends_midway_is_no_success passes on the earlier code, too: the HTTP library treats such a head as a lost connection.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -5,7 +5,7 @@
         shared::Shared,
         traffic::{
             body::{Body, Stream},
-            target::{ConnectError, Connection, Target},
+            target::{ConnectError, Connection, Reuse, Target},
         },
     },
     bytes::{Bytes, BytesMut},
@@ -97,10 +97,21 @@
     }
 }
 
-/// Makes one attempt: sends the request to a target and receives the response.
-pub(crate) async fn send(shared: &Arc<Shared>, call: &Call, target: &Arc<Target>) -> AttemptResult {
+/// Makes one attempt: sends the request to a target and receives the response. `is_repeated` says
+/// that the target got the request before.
+pub(crate) async fn send(
+    shared: &Arc<Shared>,
+    call: &Call,
+    target: &Arc<Target>,
+    is_repeated: bool,
+) -> AttemptResult {
     let _in_flight = InFlightGuard::new(target);
-    let mut connection = match target.connect(call.at_most_once).await {
+    let reuse = match (is_repeated, call.at_most_once) {
+        (true, _) => Reuse::None,
+        (false, true) => Reuse::Trusted,
+        (false, false) => Reuse::Any,
+    };
+    let mut connection = match target.connect(reuse).await {
         Ok(connection) => connection,
         Err(error) => return AttemptResult::Unsent(error),
     };
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -91,7 +91,7 @@
                 return Err(self.refusal(Reason::Overloaded));
             }
             let target = self.next_permitted_target().await?;
-            let result = attempt::send(self.shared, &self.admitted.call, &target).await;
+            let result = self.send_to(&target).await;
             if !matches!(result, AttemptResult::Unsent(_)) {
                 self.sent += 1;
             }
@@ -157,11 +157,17 @@
         }
     }
 
+    /// Sends the request to a target.
+    async fn send_to(&self, target: &Arc<Target>) -> AttemptResult {
+        let is_repeated = self.tried.iter().any(|tried| Arc::ptr_eq(tried, target));
+        attempt::send(self.shared, &self.admitted.call, target, is_repeated).await
+    }
+
     /// Tries one other target after a failure response, and returns the failure if that attempt
     /// gets no response.
     async fn final_attempt(&mut self, failure: Response<Body>) -> Result<Response<Body>, Refusal> {
         let Ok(target) = self.next_permitted_target().await else { return Ok(failure) };
-        let result = attempt::send(self.shared, &self.admitted.call, &target).await;
+        let result = self.send_to(&target).await;
         self.sent += 1;
         match result {
             AttemptResult::Answered(response) => Ok(*response),
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -73,6 +73,18 @@
     Unreachable,
 }
 
+/// The idle connections that an attempt may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// Every one.
+    Any,
+    /// One that was not idle for too long to be trusted.
+    Trusted,
+    /// None: the target has answered this request before, and a second copy of that answer could be
+    /// taken for the answer to this attempt.
+    None,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     channel: Channel,
@@ -157,13 +169,12 @@
         }
     }
 
-    /// Returns an idle connection or opens a new one. With `trusted_only`, a connection that was
-    /// idle for too long to be trusted is not used.
+    /// Returns an idle connection of those that `reuse` allows, or opens a new one.
     pub(crate) async fn connect(
         self: &Arc<Self>,
-        trusted_only: bool,
+        reuse: Reuse,
     ) -> Result<Connection, ConnectError> {
-        while let Some(channel) = self.check_out_idle(trusted_only) {
+        while let Some(channel) = self.check_out_idle(reuse) {
             if channel.sender.is_ready() {
                 return Ok(Connection { target: Arc::clone(self), channel });
             }
@@ -175,13 +186,16 @@
 
     /// Removes and returns the idle connection that was used last, and closes those that are too
     /// old.
-    fn check_out_idle(&self, trusted_only: bool) -> Option<Channel> {
+    fn check_out_idle(&self, reuse: Reuse) -> Option<Channel> {
+        if reuse == Reuse::None {
+            return None;
+        }
         let mut idle = lock(&self.idle);
         idle.retain(|idle| {
             idle.idle_since.elapsed() < MAX_IDLE && !idle.channel.sender.is_closed()
         });
         let newest = idle.pop()?;
-        if trusted_only && newest.idle_since.elapsed() >= MAX_TRUSTED_IDLE {
+        if reuse == Reuse::Trusted && newest.idle_since.elapsed() >= MAX_TRUSTED_IDLE {
             idle.push(newest);
             return None;
         }
--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a target in trouble, which sends bytes without end until its caller closes.
 
 use {
+    crate::raw::read_request,
     std::{
         io,
         sync::{Arc, Mutex, PoisonError},
@@ -17,7 +18,6 @@
 const MAX_BYTES: usize = 96 << 20;
 
 const CHUNK_BYTES: usize = 32 << 10;
-const MAX_REQUEST_BYTES: usize = 16 << 10;
 
 /// What has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,23 +110,3 @@
         Ok(())
     }
 }
-
-/// Reads the head of a request and returns its attempt id, or `None` if the connection ends.
-async fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
-    let mut head = Vec::new();
-    let mut buffer = [0; 1_024];
-    while head.len() < MAX_REQUEST_BYTES {
-        let count = stream.read(&mut buffer).await?;
-        if count == 0 {
-            return Ok(None);
-        }
-        head.extend_from_slice(&buffer[..count]);
-        let text = String::from_utf8_lossy(&head);
-        if text.contains("\r\n\r\n") {
-            let is_id = |line: &&str| line.to_ascii_lowercase().starts_with("attempt-id:");
-            let id = text.lines().find(is_id).and_then(|line| line.split_once(':'));
-            return Ok(Some(id.map_or_else(String::new, |(_, id)| id.trim().to_owned())));
-        }
-    }
-    Ok(None)
-}
--- /dev/null
+++ b/crates/standin/src/faulty.rs
@@ -0,0 +1,111 @@
+//! A stand-in for a target whose responses break the protocol.
+
+use {
+    crate::raw::read_request,
+    std::{
+        collections::HashSet,
+        io,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpListener, TcpStream},
+    },
+};
+
+/// What is wrong with the responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The first request on a connection is refused as not run; each later one runs, and is answered
+    /// by that refusal once more.
+    RepeatedRefusal,
+    /// The connection closes after so many lines of the head.
+    CutHead(usize),
+}
+
+/// The requests that a target has seen, by their attempt ids.
+#[derive(Debug, Default)]
+struct Seen {
+    arrived: HashSet<String>,
+    run: HashSet<String>,
+}
+
+/// A target with a fault.
+#[derive(Debug)]
+pub struct Faulty {
+    kind: Kind,
+    seen: Mutex<Seen>,
+}
+
+impl Faulty {
+    /// Returns a target with a fault.
+    #[must_use]
+    pub fn new(kind: Kind) -> Arc<Self> {
+        Arc::new(Self { kind, seen: Mutex::default() })
+    }
+
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how many requests have arrived, each attempt id counted once.
+    #[must_use]
+    pub fn arrived_count(&self) -> usize {
+        self.seen().arrived.len()
+    }
+
+    /// Returns true if the request with an attempt id has run.
+    #[must_use]
+    pub fn has_run(&self, id: &str) -> bool {
+        self.seen().run.contains(id)
+    }
+
+    /// Serves connections on `listener`, forever.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let target = Arc::clone(&self);
+            tokio::spawn(async move {
+                // An error is expected if the caller disconnects.
+                target.serve_connection(stream).await.ok();
+            });
+        }
+    }
+
+    async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut refusal = None;
+        while let Some(id) = read_request(&mut stream).await? {
+            let is_new = self.seen().arrived.insert(id.clone());
+            match self.kind {
+                Kind::RepeatedRefusal if is_new && refusal.is_none() => {
+                    let text = format!(
+                        "HTTP/1.1 503 Full\r\nattempt-id: {id}\r\nnot-executed: 1\r\n\
+                         content-length: 0\r\n\r\n"
+                    );
+                    stream.write_all(text.as_bytes()).await?;
+                    refusal = Some(text);
+                }
+                Kind::RepeatedRefusal => {
+                    self.seen().run.insert(id.clone());
+                    let response = refusal.clone().unwrap_or_else(|| success(&id));
+                    stream.write_all(response.as_bytes()).await?;
+                }
+                Kind::CutHead(lines) => {
+                    self.seen().run.insert(id.clone());
+                    let head: String = success(&id).split_inclusive("\r\n").take(lines).collect();
+                    stream.write_all(head.as_bytes()).await?;
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns the response to a request that has run.
+fn success(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-signature: s1\r\n\
+         content-length: 2\r\n\r\nok"
+    )
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,10 +16,12 @@
 pub mod caller;
 pub mod check;
 pub mod endless;
+pub mod faulty;
 pub mod holder;
 pub mod journal;
 pub mod load;
 pub mod platform;
 pub mod proxy;
+mod raw;
 pub mod rows;
 pub mod target;
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -29,7 +29,7 @@
         path::PathBuf,
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -398,6 +398,22 @@
         self.store.write_row("op", "config", routing.to_string().as_bytes());
     }
 
+    /// Lists a target of the service `orders` that the test serves itself, until `stop` is set: its
+    /// registration expires unless it is written again.
+    pub async fn keep_listed(&self, address: SocketAddr, stop: &AtomicBool) {
+        for sequence in 1_u64.. {
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
+            let registration = json!({
+                "service": "orders", "address": address, "zone": "a", "version": "v1", "slots": 2,
+                "state": "ready", "coldLeft": "0ms", "sequence": sequence, "born": 1,
+            });
+            self.store.write_row("servers", "of-the-test", registration.to_string().as_bytes());
+            time::sleep(Duration::from_millis(300)).await;
+        }
+    }
+
     /// Sends a request to an entry and reads the whole response.
     pub async fn send(&self, entry: usize, request: &SiteRequest) -> SiteResponse {
         let id = format!("{:016x}", self.next_request_id.fetch_add(1, Ordering::Relaxed));
--- a/crates/trial/tests/endless.rs
+++ b/crates/trial/tests/endless.rs
@@ -1,7 +1,6 @@
 //! Targets that send bytes without end, in a head or a body, until their caller closes.
 
 use {
-    serde_json::json,
     standin::{
         endless::{Endless, Kind},
         holder,
@@ -29,21 +28,6 @@
 /// The only other target of the service, which is in use until the one without end is.
 const SOUND_TARGET: usize = 1;
 
-/// Lists a target in the store every now and then, so that its registration does not expire.
-async fn keep_listed(site: &Site, address: std::net::SocketAddr, stop: &AtomicBool) {
-    for sequence in 1_u64.. {
-        if stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let registration = json!({
-            "service": "orders", "address": address, "zone": "a", "version": "v1", "slots": 2,
-            "state": "ready", "coldLeft": "0ms", "sequence": sequence, "born": 1,
-        });
-        site.store.write_row("servers", "endless", registration.to_string().as_bytes());
-        time::sleep(Duration::from_millis(300)).await;
-    }
-}
-
 /// Records the highest memory of entry 0 until `stop` is set.
 async fn watch_memory(site: &Site, peak_kb: &AtomicU64, stop: &AtomicBool) {
     while !stop.load(Ordering::Relaxed) {
@@ -106,11 +90,7 @@
             send_requests(&site, &endless, kind).await;
             stop.store(true, Ordering::Relaxed);
         };
-        tokio::join!(
-            work,
-            keep_listed(&site, address, &stop),
-            watch_memory(&site, &peak_kb, &stop)
-        );
+        tokio::join!(work, site.keep_listed(address, &stop), watch_memory(&site, &peak_kb, &stop));
         let growth_kb = peak_kb.into_inner().saturating_sub(before_kb);
         assert!(growth_kb < MAX_MEMORY_GROWTH_KB, "{kind:?}: an entry grew by {growth_kb} KB");
     }
--- /dev/null
+++ b/crates/trial/tests/faulty.rs
@@ -0,0 +1,77 @@
+//! Targets whose responses break the protocol: what callers are told stays true.
+
+use {
+    standin::{
+        faulty::{Faulty, Kind},
+        holder,
+    },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{net::TcpListener, time},
+    trial::{Site, SitePlan, SiteRequest, SiteResponse, eventually},
+};
+
+/// The only other target of the service, which is in use until the faulty one is.
+const SOUND_TARGET: usize = 1;
+
+/// The number of orders that each case sends.
+const ORDERS: usize = 20;
+
+/// Sends orders to a site whose only target for them is faulty, and checks each response.
+async fn check_orders(kind: Kind, check: impl Fn(&Faulty, &SiteResponse)) {
+    let plan = SitePlan { entries: 1, keyed_targets: 1, unkeyed_targets: 1, ..SitePlan::default() };
+    let site = Site::start(plan).await;
+    let target = Faulty::new(kind);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(Arc::clone(&target).serve(listener));
+    let leaving = holder::Fault { draining: true, ..holder::Fault::default() };
+    site.set_target_fault(SOUND_TARGET, leaving).await;
+    let stop = AtomicBool::new(false);
+    let work = async {
+        eventually("the sound target gets no orders any more", || async {
+            let before = target.arrived_count();
+            let response = site.send(0, &SiteRequest::order()).await;
+            check(&target, &response);
+            time::sleep(Duration::from_millis(50)).await;
+            (target.arrived_count() > before + 1 || target.arrived_count() > 5).then_some(())
+        })
+        .await;
+        for _ in 0..ORDERS {
+            check(&target, &site.send(0, &SiteRequest::order()).await);
+        }
+        stop.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(work, site.keep_listed(address, &stop));
+}
+
+/// A target wrote an earlier refusal once more on a kept connection, as the answer to a request that it
+/// was running, and the caller was told that the request had not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_written_again_is_no_proof_that_a_request_has_not_run() {
+    check_orders(Kind::RepeatedRefusal, |target, response| {
+        let is_wrong = response.is_not_run() && target.has_run(&response.id);
+        assert!(!is_wrong, "refused as not run, and has run: {response:?}");
+    })
+    .await;
+}
+
+/// A target closed its connection in the middle of a head, and callers got a success with an empty or
+/// short body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_ends_midway_is_no_success() {
+    for lines in 1..=4 {
+        check_orders(Kind::CutHead(lines), |target, response| {
+            let is_success = response.status.is_some_and(|status| status.is_success());
+            let is_from_faulty = target.has_run(&response.id);
+            assert!(!is_success || !is_from_faulty, "{lines} lines: {response:?}");
+            assert!(!response.is_not_run() || !is_from_faulty, "{lines} lines: {response:?}");
+        })
+        .await;
+    }
+}
