--- a/crates/conf/src/time_span.rs
+++ b/crates/conf/src/time_span.rs
@@ -25,10 +25,11 @@
         Self(Duration::from_millis(millis))
     }
 
-    /// Returns the span in whole milliseconds.
+    /// Returns the span in whole milliseconds, or the largest number if there are more.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
-        self.0.as_millis() as u64
+        let millis = self.0.as_millis();
+        if millis > u64::MAX as u128 { u64::MAX } else { millis as u64 }
     }
 
     /// Returns the span as a [`Duration`].
--- a/crates/trial/tests/site.rs
+++ b/crates/trial/tests/site.rs
@@ -2,7 +2,11 @@
 
 use {
     standin::{caller::Route, check, holder, proxy, rows},
-    std::{collections::HashSet, time::Duration},
+    std::{
+        collections::{BTreeMap, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::time,
     trial::{Site, SitePlan, SiteRequest, eventually},
 };
@@ -211,10 +215,34 @@
     site.wait_until_served(1, &SiteRequest::order()).await;
 }
 
+/// The depth of a registration that a parser which recurses does not survive.
+const NESTING_DEPTH: usize = 12_000;
+
+/// Returns a registration of another writer at the address of a target, with some fields replaced by
+/// JSON texts.
+fn odd_registration(address: &SocketAddr, fields: &[(&str, &str)]) -> String {
+    let mut all = BTreeMap::from([
+        ("service", r#""catalogue""#.to_owned()),
+        ("address", format!(r#""{address}""#)),
+        ("zone", r#""a""#.to_owned()),
+        ("version", r#""v1""#.to_owned()),
+        ("slots", "2".to_owned()),
+        ("state", r#""ready""#.to_owned()),
+        ("coldLeft", r#""0ms""#.to_owned()),
+        ("sequence", "1".to_owned()),
+        ("born", "9000000000000".to_owned()),
+    ]);
+    all.extend(fields.iter().map(|(name, text)| (*name, (*text).to_owned())));
+    let fields: Vec<String> =
+        all.into_iter().map(|(name, text)| format!(r#""{name}":{text}"#)).collect();
+    format!("{{{}}}", fields.join(","))
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invalid_registrations_of_other_writers_are_ignored() {
     let site = Site::start(SitePlan::default()).await;
     let target_address = site.target_address(0);
+    let nested = format!("{}{}", "[".repeat(NESTING_DEPTH), "]".repeat(NESTING_DEPTH));
     let cases = [
         "not JSON".to_owned(),
         "{}".to_owned(),
@@ -227,6 +255,16 @@
         format!(
             r#"{{"service":"catalogue","address":"{target_address}","zone":"a","slots":2,"state":"resting","born":9000000000000}}"#
         ),
+        odd_registration(&target_address, &[("address", r#""10.0.0.1:70000""#)]),
+        odd_registration(&target_address, &[("slots", "4294967295")]),
+        odd_registration(&target_address, &[("slots", "1e400")]),
+        odd_registration(&target_address, &[("born", "18446744073709551615")]),
+        odd_registration(&target_address, &[("born", "9007199254740993")]),
+        odd_registration(&target_address, &[("sequence", "18446744073709551615")]),
+        odd_registration(&target_address, &[("coldLeft", r#""1e300s""#)]),
+        odd_registration(&target_address, &[("coldLeft", r#""18446744073709551615s""#)]),
+        odd_registration(&target_address, &[("zone", &nested)]),
+        nested.clone(),
     ];
     for (number, text) in cases.iter().enumerate() {
         site.store.write_row("servers", &format!("foreign-{number}"), text.as_bytes());
