Escape keys of rows in the addresses of reads

A table of more than a page was read from the key of the last row on, unescaped: a key that another writer chose could end the reading, or make it start over without end.

--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -9,6 +9,7 @@
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     key::clock::Tick,
+    percent_encoding::percent_decode_str,
     serde::{Deserialize, Serialize},
     serde_json::{Value, json},
     std::{
@@ -408,7 +409,11 @@
 /// Parses a query string, in which `%00` is the only escape that is decoded.
 fn parse_query(text: &str) -> HashMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect()
+    pairs
+        .map(|(name, value)| {
+            (name.to_owned(), percent_decode_str(value).decode_utf8_lossy().into_owned())
+        })
+        .collect()
 }
 
 /// Returns the monotonic time in the form that replies use.
