--- a/crates/conf/src/platform_settings.rs
+++ b/crates/conf/src/platform_settings.rs
@@ -8,7 +8,11 @@
     crate::{BoundedU64, Error, ErrorKind, TimeSpan, parse::parse},
     key::{Vm, Zone},
     serde::Deserialize,
-    std::{fs, net::SocketAddr, path::Path},
+    std::{
+        fs,
+        net::{IpAddr, SocketAddr},
+        path::Path,
+    },
 };
 
 /// The part of `grace` that is reserved for the exit of the process itself.
@@ -31,6 +35,9 @@
     pub metrics_listen: SocketAddr,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// The local address of connections to targets; by default, the operating system chooses it.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// The time between the signal to stop and the kill of the process.
     pub grace: TimeSpan,
     /// The time for which a target may still get requests after the store marked it as leaving.
--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -8,7 +8,10 @@
     key::Fence,
     platform::order::{Connection, Error},
     smol_str::SmolStr,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 /// The time one grant may take until its answer.
@@ -20,6 +23,20 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Where grants and releases go, and from which local address.
+#[derive(Clone, Debug)]
+pub(crate) struct Destination {
+    pub(crate) instance: Instance,
+    pub(crate) address: SocketAddr,
+    pub(crate) source: Option<IpAddr>,
+}
+
+impl Destination {
+    async fn connect(&self) -> Result<Connection, Error> {
+        Connection::open(self.instance.vm.clone(), self.address, self.source, CONNECT_TIMEOUT).await
+    }
+}
+
 /// Which connection the grants use.
 #[derive(Debug)]
 pub(crate) enum Checkout {
@@ -33,14 +50,13 @@
 /// connection has failed, the remaining grants count as unsent.
 pub(crate) async fn send_grants(
     checkout: Checkout,
-    instance: &Instance,
-    address: SocketAddr,
+    destination: &Destination,
     grant_duration: Duration,
     grants: Vec<Grant>,
 ) -> (Vec<(Grant, Outcome)>, Option<Connection>) {
     let opened = match checkout {
         Checkout::Reuse(connection) => Ok(connection),
-        Checkout::Connect => Connection::open(instance.vm.clone(), address, CONNECT_TIMEOUT).await,
+        Checkout::Connect => destination.connect().await,
     };
     let mut connection = opened.ok();
     let mut results = Vec::with_capacity(grants.len());
@@ -79,12 +95,11 @@
 /// Releases keys over a separate connection, so that the long wait for the answer delays no grant.
 /// Returns the handover data of the target, if it sent any.
 pub(crate) async fn send_release(
-    instance: &Instance,
-    address: SocketAddr,
+    destination: &Destination,
     span: Span,
     fence: Fence,
 ) -> Result<Option<SmolStr>, Outcome> {
-    let opened = Connection::open(instance.vm.clone(), address, CONNECT_TIMEOUT).await;
+    let opened = destination.connect().await;
     let mut connection = opened.map_err(|_| Outcome::Unsent)?;
     match connection.release(span, fence, RELEASE_TIMEOUT).await {
         Ok(handover) => Ok(handover),
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -69,9 +69,10 @@
             }
             Action::Release { instance, address, span, fence } => {
                 self.log_order("release", &instance, span, fence, "sent");
-                let inputs = self.inputs.clone();
+                let (destination, inputs) =
+                    (self.destination(&instance, address), self.inputs.clone());
                 tokio::task::spawn_local(async move {
-                    let result = orders::send_release(&instance, address, span, fence).await;
+                    let result = orders::send_release(&destination, span, fence).await;
                     send(&inputs, Input::ReleaseResult { service, instance, span, result }).await;
                 });
             }
@@ -79,6 +80,11 @@
         }
     }
 
+    fn destination(&self, instance: &Instance, address: SocketAddr) -> orders::Destination {
+        let source = self.shared.settings.source;
+        orders::Destination { instance: instance.clone(), address, source }
+    }
+
     fn log_order(&self, order: &str, instance: &Instance, span: Span, fence: Fence, outcome: &str) {
         self.shared.journal.log(
             "order",
@@ -123,11 +129,12 @@
                 }
             };
         self.grant_batches += 1;
+        let destination = self.destination(&instance, address);
         let (grant_duration, inputs) =
             (self.shared.settings.hold.as_duration(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let (results, connection) =
-                orders::send_grants(checkout, &instance, address, grant_duration, grants).await;
+                orders::send_grants(checkout, &destination, grant_duration, grants).await;
             send(&inputs, Input::GrantResults { service, instance, results, connection }).await;
         });
     }
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -29,6 +29,7 @@
     /// Publishes a snapshot of the current state.
     pub(super) fn publish(&mut self, now: Tick) {
         self.dirty = false;
+        let source = self.shared.settings.source;
         let mut snapshot =
             Snapshot { entries: self.entries_sharing_limits(), ..Snapshot::default() };
         let mut ready: HashMap<_, Vec<Arc<Target>>> = HashMap::new();
@@ -36,7 +37,7 @@
             if self.registry.availability(registered, now) == Availability::Ready {
                 let target =
                     self.pool.get_or_insert_with(&registered.registration.instance(), || {
-                        Target::new(&registered.registration)
+                        Target::new(&registered.registration, source)
                     });
                 ready.entry(registered.registration.service.clone()).or_default().push(target);
             }
@@ -55,9 +56,9 @@
                 map.holders.iter().map(usable_registration).collect();
             let to_target = |registration: Option<Registration>| {
                 let registration = registration?;
-                let target = self
-                    .pool
-                    .get_or_insert_with(&registration.instance(), || Target::new(&registration));
+                let target = self.pool.get_or_insert_with(&registration.instance(), || {
+                    Target::new(&registration, source)
+                });
                 target.set_closing_time(self.closes_at(&registration, now));
                 Some(target)
             };
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -8,7 +8,7 @@
     key::{Service, Version, Zone, clock::Tick},
     socket2::SockRef,
     std::{
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
@@ -17,7 +17,6 @@
     },
     thiserror::Error as Derive,
     tokio::{
-        net::TcpSocket,
         task::{AbortHandle, JoinHandle},
         time,
     },
@@ -110,6 +109,8 @@
     pub(crate) instance: Instance,
     pub(crate) service: Service,
     pub(crate) address: SocketAddr,
+    /// The local address of connections to it.
+    source: Option<IpAddr>,
     pub(crate) zone: Zone,
     pub(crate) slots: u32,
     pub(crate) in_flight: AtomicUsize,
@@ -149,11 +150,12 @@
 }
 
 impl Target {
-    pub(crate) fn new(registration: &Registration) -> Self {
+    pub(crate) fn new(registration: &Registration, source: Option<IpAddr>) -> Self {
         Self {
             instance: registration.instance(),
             service: registration.service.clone(),
             address: registration.address,
+            source,
             zone: registration.zone.clone(),
             slots: registration.slots,
             in_flight: AtomicUsize::new(0),
@@ -205,7 +207,7 @@
     /// Opens a connection.
     async fn open(&self) -> Result<Channel, ConnectError> {
         let connect = async {
-            let socket = TcpSocket::new_v4()?;
+            let socket = wire::socket(self.source)?;
             SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
             let stream = socket.connect(self.address).await?;
             stream.set_nodelay(true)?;
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -15,7 +15,7 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    serde_json::json,
+    serde_json::{Value, json},
     standin::{
         caller::{self, Route},
         holder,
@@ -277,6 +277,19 @@
         self.start_entry(index);
     }
 
+    /// Sets a field of an entry's settings for its next start.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings file cannot be read and written.
+    pub fn set_setting(&self, index: usize, field: &str, value: Value) {
+        let path = &self.entries[index].settings_path;
+        let text = fs::read_to_string(path).expect("the settings file cannot be read");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings in JSON");
+        settings[field] = value;
+        fs::write(path, settings.to_string()).expect("the settings file cannot be written");
+    }
+
     /// Starts an entry that is not running.
     pub fn start_entry(&mut self, index: usize) {
         let settings = self.entries[index].settings_path.display().to_string();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,9 +10,11 @@
 mod client;
 mod error;
 mod server;
+mod socket;
 
 pub use crate::{
     client::{Client, Config},
     error::{Error, ErrorKind},
     server::{Reply, json, read_body, read_json, serve, status},
+    socket::socket,
 };
