Pass requests on through another entry while no target is reached from here

Cause: a request could leave its entry by the entry's own links only, and a link that is lost was taken for targets that are down, one by one. Class of fault: the reach of one process taken for the state of what it reaches.

An entry counts as stranded if connections to several targets fail and hardly any succeeds; it then tries one target every 150 ms until two in a row are reached (route::Reach). Meanwhile it passes requests on to another entry, at a listener that only entries know (relay_listen), with the time left and the attempts made; that one passes nothing on further. Entries are drawn by power and load; one that is stranded itself answers so at once, and is avoided. A holder that only others reach gets its requests the same way, without the rest. Requests, load and retries are counted where callers asked. A stranded entry reports no crashes.

--- a/crates/edge/src/control/records.rs
+++ b/crates/edge/src/control/records.rs
@@ -51,6 +51,9 @@
     pub(crate) zone: Zone,
     /// The share of a core that the entry may use; entries with more power campaign first.
     pub(crate) power: f64,
+    /// The address at which it takes requests that other entries pass on, if it takes any.
+    #[serde(default)]
+    pub(crate) relay: Option<SocketAddr>,
 }
 
 /// The kind of a row, by its key.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -125,6 +125,8 @@
     /// The newest revision of rate limits that the leader has told this entry.
     limit_revision: LimitRevision,
     pool: TargetPool,
+    /// The other entries, as targets of requests that are passed on.
+    relays: TargetPool,
     /// Whether the published snapshot is outdated.
     dirty: bool,
 }
@@ -174,6 +176,7 @@
             crash_reports: VecDeque::new(),
             limit_revision: LimitRevision::default(),
             pool: TargetPool::default(),
+            relays: TargetPool::default(),
             dirty: false,
         }
     }
@@ -188,6 +191,7 @@
             address: settings.peer_listen,
             zone: settings.zone.clone(),
             power: settings.power,
+            relay: settings.relay_listen,
         };
         let key = member_key(&self.me.vm);
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -3,22 +3,26 @@
 use {
     super::State,
     crate::{
+        control::records::Member,
         snapshot::{Holders, Snapshot},
-        traffic::target::Target,
+        traffic::{relay::Relay, target::Target},
     },
     hold::{
         Registration,
         map::Holder,
         registry::{Availability, State as RegistrationState},
     },
-    key::{Service, clock::Tick},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    key::{Service, Vm, clock::Tick},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// The part of the time limit for leaving targets that is held back for latency: the delivery of
 /// the store's change to this process, and the last request on its way to the target.
 const LEAVING_MARGIN: Duration = Duration::from_millis(400);
 
+/// The number of other entries that an entry may pass requests on to; the most powerful ones.
+const MAX_RELAY_CANDIDATES: usize = 24;
+
 /// The slots assumed for a target that is known only from a map.
 const ASSUMED_SLOTS: u32 = 2;
 
@@ -65,9 +69,36 @@
             let targets = registrations.into_iter().map(to_target).collect();
             snapshot.holders.insert(service, Holders { map, targets });
         }
+        snapshot.relays = self.relays();
         snapshot.routing = self.routing.routing().cloned();
         self.shared.publish(snapshot);
         self.pool.retain_used();
+        self.relays.retain_used();
+    }
+
+    /// Returns the other entries that pass requests on. In a large fleet a few are enough, and each
+    /// entry has others.
+    fn relays(&mut self) -> Vec<Relay> {
+        let own_vm = self.me.vm.as_str();
+        let mut candidates: Vec<(u64, &Vm, &Member, SocketAddr)> = self
+            .members
+            .iter()
+            .filter(|(vm, _)| vm.as_str() != own_vm)
+            .filter_map(|(vm, member)| {
+                let weight = key::rendezvous_weight(own_vm, vm.as_str());
+                Some((weight, vm, member, member.relay?))
+            })
+            .collect();
+        candidates.sort_by(|a, b| b.2.power.total_cmp(&a.2.power).then(a.0.cmp(&b.0)));
+        candidates.truncate(MAX_RELAY_CANDIDATES);
+        let to_relay = |(_, vm, member, address): (u64, &Vm, &Member, SocketAddr)| {
+            let registration = registration_of_entry(vm, member, address);
+            let entry = self
+                .relays
+                .get_or_insert_with(&registration.instance(), || Target::new(&registration, None));
+            Relay { entry, power: member.power }
+        };
+        candidates.into_iter().map(to_relay).collect()
     }
 
     /// Returns the number of entries that share a limit. Counting too few of them would let this
@@ -91,6 +122,21 @@
     }
 }
 
+/// Returns a registration with which another entry is connected to as a target is.
+fn registration_of_entry(vm: &Vm, member: &Member, address: SocketAddr) -> Registration {
+    Registration {
+        vm: vm.clone(),
+        started_at_ms: member.incarnation.get(),
+        service: Service::from(""),
+        address,
+        zone: member.zone.clone(),
+        slots: ASSUMED_SLOTS,
+        state: RegistrationState::Ready,
+        warmup_remaining_ms: 0,
+        sequence: 0,
+    }
+}
+
 /// Returns a registration, made from the map, for a holder that has not appeared in the registry
 /// yet.
 fn registration_of_holder(service: &Service, holder: &Holder) -> Registration {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -5,7 +5,10 @@
         Error,
         control::{self, Context},
         shared::Shared,
-        traffic::server,
+        traffic::{
+            relay::probe_targets,
+            server::{self, Kind},
+        },
     },
     conf::PlatformSettings,
     http::StatusCode,
@@ -50,6 +53,7 @@
 /// The listening sockets that the traffic thread serves.
 struct TrafficListeners {
     callers: std::net::TcpListener,
+    relay: Option<std::net::TcpListener>,
     ready: std::net::TcpListener,
     metrics: std::net::TcpListener,
 }
@@ -66,6 +70,7 @@
     let runtime = new_runtime()?;
     let listeners = TrafficListeners {
         callers: bind("listen", settings.listen)?,
+        relay: settings.relay_listen.map(|address| bind("relay_listen", address)).transpose()?,
         ready: bind("ready_listen", settings.ready_listen)?,
         metrics: bind("metrics_listen", settings.metrics_listen)?,
     };
@@ -113,7 +118,7 @@
     listeners: TrafficListeners,
     file: PathBuf,
 ) -> Result<bool, Error> {
-    let TrafficListeners { callers, ready, metrics } = listeners;
+    let TrafficListeners { callers, relay, ready, metrics } = listeners;
     let (stop, stopped) = watch::channel(false);
     let callers = TcpListener::from_std(callers)?;
     let for_ready = Arc::clone(shared);
@@ -133,18 +138,27 @@
     }));
     tokio::spawn(validate_settings_on_hangup(Arc::clone(shared), file));
     let stop_timeout = shared.settings.stop_timeout();
-    let serving = tokio::spawn(server::serve(
+    let timeout = stop_timeout.saturating_sub(STOP_NOTICE);
+    tokio::spawn(probe_targets(Arc::clone(shared)));
+    let mut serving = vec![tokio::spawn(server::serve(
         callers,
         Arc::clone(shared),
-        stopped,
-        stop_timeout.saturating_sub(STOP_NOTICE),
-    ));
+        Kind::Callers,
+        stopped.clone(),
+        timeout,
+    ))];
+    if let Some(relay) = relay {
+        let relay = TcpListener::from_std(relay)?;
+        let shared = Arc::clone(shared);
+        serving.push(tokio::spawn(server::serve(relay, shared, Kind::Entries, stopped, timeout)));
+    }
     wait_for_signal().await?;
     shared.stopping.store(true, Ordering::Relaxed);
     shared.journal.log("stopping", &());
     time::sleep(STOP_NOTICE.min(stop_timeout / 2)).await;
     stop.send_replace(true);
-    Ok(serving.await.unwrap_or(false))
+    let ended = futures::future::join_all(serving).await;
+    Ok(ended.into_iter().all(|all_ended| all_ended.unwrap_or(false)))
 }
 
 /// Waits for a signal to stop.
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -8,7 +8,7 @@
     key::{Service, clock::Tick},
     limit::{Change, Rate, Table},
     report::Journal,
-    route::{Quarantine, budget::Window, quarantine::CrashReport},
+    route::{Quarantine, Reach, budget::Window, quarantine::CrashReport},
     serde::Serialize,
     std::{
         collections::HashMap,
@@ -17,6 +17,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
+        time::Instant,
     },
     tokio::sync::watch,
 };
@@ -51,6 +52,7 @@
     quarantine: Mutex<Quarantine>,
     budgets: Mutex<HashMap<Service, Window>>,
     limits: Mutex<Table>,
+    reach: Mutex<Reach<Instance>>,
 }
 
 impl Shared {
@@ -68,6 +70,7 @@
             quarantine: Mutex::default(),
             budgets: Mutex::default(),
             limits: Mutex::default(),
+            reach: Mutex::default(),
         })
     }
 
@@ -115,6 +118,34 @@
         lock(&self.limits)
     }
 
+    /// Returns true if this entry reaches no target, or hardly any.
+    pub(crate) fn is_stranded(&self) -> bool {
+        lock(&self.reach).is_stranded()
+    }
+
+    /// Returns the share of targets that this entry does not reach, in percent.
+    pub(crate) fn unreached_percent(&self) -> u8 {
+        lock(&self.reach).unreached_percent(Instant::now())
+    }
+
+    /// Records whether a target was reached, and logs when this entry becomes stranded or is no
+    /// longer.
+    pub(crate) fn record_reach(&self, target: &Instance, reached: bool) {
+        #[derive(Serialize)]
+        struct ReachLine<'a> {
+            stranded: bool,
+            target: &'a str,
+        }
+        let stranded = {
+            let mut reach = lock(&self.reach);
+            reach.record(target, reached, Instant::now()).then(|| reach.is_stranded())
+        };
+        if let Some(stranded) = stranded {
+            self.counters.count("stranded", if stranded { "began" } else { "ended" });
+            self.journal.log("reach", &ReachLine { stranded, target: target.vm.as_str() });
+        }
+    }
+
     /// Logs that the body of a response did not end before the deadline of its request.
     pub(crate) fn log_late_body(&self, target: &Instance, id: &str) {
         #[derive(Serialize)]
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! The immutable routing state that traffic reads, replaced as a whole.
 
 use {
-    crate::traffic::target::Target,
+    crate::traffic::{relay::Relay, target::Target},
     conf::routing::Routing,
     hold::{Instance, Map},
     key::{Service, Version},
@@ -24,6 +24,8 @@
     /// The targets of each service that may get new requests.
     pub(crate) ready: HashMap<Service, Vec<Arc<Target>>>,
     pub(crate) holders: HashMap<Service, Holders>,
+    /// The other entries that pass requests on while this one is stranded.
+    pub(crate) relays: Vec<Relay>,
     /// The number of entries that share limits, this one included.
     pub(crate) entries: usize,
 }
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -5,6 +5,7 @@
         shared::Shared,
         traffic::{
             body::{Body, Stream},
+            relay,
             target::{ConnectError, Connection, Reuse, Target},
         },
     },
@@ -97,12 +98,25 @@
     }
 }
 
-/// Makes one attempt: sends the request to a target and receives the response. `is_repeated` says
-/// that the target got the request before.
+/// How a request gets to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// Over a connection of this entry.
+    Direct,
+    /// Through another entry, after so many attempts of this one.
+    Relayed {
+        /// The number of attempts in which anything was sent.
+        sent: u32,
+    },
+}
+
+/// Makes one attempt: sends the request to a target, or to another entry, and receives the response.
+/// `is_repeated` says that the same one got the request before.
 pub(crate) async fn send(
     shared: &Arc<Shared>,
     call: &Call,
     target: &Arc<Target>,
+    way: Way,
     is_repeated: bool,
 ) -> AttemptResult {
     let _in_flight = InFlightGuard::new(target);
@@ -113,7 +127,10 @@
     };
     let mut connection = match target.connect(reuse).await {
         Ok(connection) => connection,
-        Err(error) => return AttemptResult::Unsent(error),
+        Err(error) => {
+            record_reach(shared, target, way, false);
+            return AttemptResult::Unsent(error);
+        }
     };
     // Opening a connection takes time, so both limits are checked again.
     if target.is_closed() {
@@ -125,7 +142,7 @@
         return AttemptResult::Unsent(ConnectError::Unreachable);
     }
     let sent_at = Tick::now();
-    let request = outgoing_request(call, target, remaining);
+    let request = outgoing_request(call, target, way, remaining);
     let result = time::timeout(remaining, connection.sender().try_send_request(request)).await;
     let response = match result {
         Ok(Ok(response)) => response,
@@ -134,11 +151,20 @@
         }
         Ok(Err(_)) => {
             target.close_idle();
+            record_reach(shared, target, way, false);
             return AttemptResult::Lost;
         }
         Err(_) => return AttemptResult::Late,
     };
-    receive(shared, call, connection, response, sent_at).await
+    record_reach(shared, target, way, true);
+    receive(shared, call, connection, response, way, sent_at).await
+}
+
+/// Records whether a target was reached. Another entry is no target.
+fn record_reach(shared: &Shared, target: &Target, way: Way, reached: bool) {
+    if way == Way::Direct {
+        shared.record_reach(&target.instance, reached);
+    }
 }
 
 /// Checks that a response belongs to the request, and reads its body or passes it on.
@@ -147,6 +173,7 @@
     call: &Call,
     connection: Connection,
     response: Response<Incoming>,
+    way: Way,
     sent_at: Tick,
 ) -> AttemptResult {
     let target = Arc::clone(&connection.target);
@@ -154,7 +181,7 @@
         return AttemptResult::Broken;
     }
     let denial = header::denial(&response, target.instance.vm.as_str());
-    if denial != Some(Denial::WrongTarget) {
+    if denial != Some(Denial::WrongTarget) && way == Way::Direct {
         record_limit(shared, &target, response.headers(), sent_at);
     }
     if let Some(denial) = denial {
@@ -239,7 +266,7 @@
 }
 
 /// Returns the request as it is sent to a target.
-fn outgoing_request(call: &Call, target: &Target, remaining: Duration) -> Request<Body> {
+fn outgoing_request(call: &Call, target: &Target, way: Way, remaining: Duration) -> Request<Body> {
     let mut request = Request::new(Body::Buffered(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
@@ -247,7 +274,14 @@
     *headers = call.parts.headers.clone();
     remove_hop_by_hop(headers);
     headers.remove(standard::EXPECT);
-    header::set_deadline_and_target(headers, remaining, target.instance.vm.as_str());
+    header::set_deadline(headers, remaining);
+    match way {
+        Way::Direct => {
+            relay::clear_request(headers);
+            header::set_expected_target(headers, target.instance.vm.as_str());
+        }
+        Way::Relayed { sent } => relay::mark_request(headers, sent),
+    }
     request
 }
 
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -10,10 +10,11 @@
         shared::Shared,
         snapshot::Snapshot,
         traffic::{
-            attempt::{self, AttemptResult},
+            attempt::{self, AttemptResult, Way},
             body::Body,
             choose,
-            handle::AdmittedRequest,
+            handle::{AdmittedRequest, Origin},
+            relay::{self, MAX_RELAYS},
             target::{ConnectError, Target},
         },
     },
@@ -49,6 +50,13 @@
 /// they cannot count.
 const RETRY_BUDGET_FRACTION: f64 = 0.75;
 
+/// The time for which no request is passed on to an entry that reaches no target either.
+const STRANDED_RELAY_BACKOFF: Duration = Duration::from_millis(800);
+
+/// The share of targets that are not reached, in percent, from which a refused connection proves no
+/// crash.
+const MAX_CREDIBLE_UNREACHED_PERCENT: u8 = 40;
+
 /// The journal line about a failed attempt.
 #[derive(Serialize)]
 struct AttemptLine<'a> {
@@ -66,6 +74,10 @@
     pub(crate) sent: u32,
     /// Whether a target may have run the request.
     may_have_run: bool,
+    /// The other entries to which the request was passed on.
+    relays: Vec<Arc<Target>>,
+    /// The holder that was not reached before the request was passed on.
+    unreached: Option<Arc<Target>>,
     /// The targets of the attempts so far.
     tried: Vec<Arc<Target>>,
     /// The time after which a target that refused the request for its rate limit can take it.
@@ -74,7 +86,16 @@
 
 impl<'a> Attempts<'a> {
     pub(crate) const fn new(shared: &'a Arc<Shared>, admitted: &'a AdmittedRequest) -> Self {
-        Self { shared, admitted, sent: 0, may_have_run: false, tried: Vec::new(), due_in: None }
+        Self {
+            shared,
+            admitted,
+            sent: admitted.origin.attempts_made(),
+            may_have_run: false,
+            relays: Vec::new(),
+            unreached: None,
+            tried: Vec::new(),
+            due_in: None,
+        }
     }
 
     /// Makes attempts until one settles the request.
@@ -90,6 +111,12 @@
             if self.sent > 0 && !self.try_retry() {
                 return Err(self.refusal(Reason::Overloaded));
             }
+            if let Some(entry) = self.next_relay() {
+                match self.relay_through(&entry).await? {
+                    Some(response) => return Ok(response),
+                    None => continue,
+                }
+            }
             let target = self.next_permitted_target().await?;
             let result = self.send_to(&target).await;
             if !matches!(result, AttemptResult::Unsent(_)) {
@@ -112,7 +139,9 @@
                 }
                 AttemptResult::Unsent(error) => {
                     self.record_failure(&target, "unreachable");
-                    self.check_unsent(error)?;
+                    if !self.can_relay() || !target.may_be_reached_elsewhere() {
+                        self.check_unsent(error)?;
+                    }
                 }
                 AttemptResult::Denied(denial @ (Denial::NotHeld | Denial::WrongTarget)) => {
                     self.record_misdirection(&target, denial);
@@ -160,7 +189,81 @@
     /// Sends the request to a target.
     async fn send_to(&self, target: &Arc<Target>) -> AttemptResult {
         let is_repeated = self.tried.iter().any(|tried| Arc::ptr_eq(tried, target));
-        attempt::send(self.shared, &self.admitted.call, target, is_repeated).await
+        attempt::send(self.shared, &self.admitted.call, target, Way::Direct, is_repeated).await
+    }
+
+    /// Returns true if the request may be passed on to another entry.
+    fn can_relay(&self) -> bool {
+        self.admitted.origin == Origin::Caller && self.relays.len() < MAX_RELAYS
+    }
+
+    /// Returns the entry to which the request is passed on next, if this one cannot reach a target
+    /// for it: it is stranded, or it alone may have lost its link to the holder of the key.
+    fn next_relay(&mut self) -> Option<Arc<Target>> {
+        if !self.can_relay() {
+            return None;
+        }
+        let snapshot = self.shared.snapshot.load_full();
+        if !self.shared.is_stranded() {
+            let key = self.admitted.key.filter(|_| self.admitted.keyed)?;
+            let holder = snapshot.holder(&self.admitted.service, key)?;
+            if !holder.may_be_reached_elsewhere() {
+                return None;
+            }
+            self.unreached = Some(holder);
+        }
+        relay::choose(&snapshot, &self.relays)
+    }
+
+    /// Passes the request on to another entry. Returns its final response, or none if the request
+    /// can be tried again.
+    async fn relay_through(
+        &mut self,
+        entry: &Arc<Target>,
+    ) -> Result<Option<Response<Body>>, Refusal> {
+        self.relays.push(Arc::clone(entry));
+        let way = Way::Relayed { sent: self.sent };
+        let unreached = self.unreached.take();
+        match attempt::send(self.shared, &self.admitted.call, entry, way, false).await {
+            AttemptResult::Answered(mut response) => {
+                let reached = !relay::take_unreached(response.headers_mut());
+                self.shared
+                    .counters
+                    .count("relayed", if reached { "answered" } else { "unreached" });
+                match &unreached {
+                    Some(holder) => holder.record_relayed(reached),
+                    None if !reached => entry.avoid_for(STRANDED_RELAY_BACKOFF),
+                    None => {}
+                }
+                // The last entry's refusal stands if there is no other one.
+                let is_final = reached || !self.can_relay();
+                Ok(is_final.then_some(*response))
+            }
+            AttemptResult::Unsent(_) | AttemptResult::Denied(_) => {
+                self.record_failure(entry, "relay unreachable");
+                Ok(None)
+            }
+            AttemptResult::Lost => self.record_uncertain_relay(entry, Reason::ConnectionLost),
+            AttemptResult::Broken => self.record_uncertain_relay(entry, Reason::MismatchedAnswer),
+            AttemptResult::Late => {
+                self.record_failure(entry, "relay late");
+                self.may_have_run = true;
+                Err(self.refusal(Reason::Deadline))
+            }
+        }
+    }
+
+    /// Records that a request may have run after it was passed on. It is tried again if its route
+    /// allows repeats.
+    fn record_uncertain_relay(
+        &mut self,
+        entry: &Target,
+        reason: Reason,
+    ) -> Result<Option<Response<Body>>, Refusal> {
+        self.record_failure(entry, "relay lost");
+        self.may_have_run = true;
+        self.sent += 1;
+        if self.can_repeat() { Ok(None) } else { Err(self.refusal(reason)) }
     }
 
     /// Tries one other target after a failure response, and returns the failure if that attempt
@@ -349,6 +452,10 @@
         if !target.probe_ended().await {
             return;
         }
+        // Many targets that refuse connections at once have not crashed: the links are at fault.
+        if self.shared.unreached_percent() >= MAX_CREDIBLE_UNREACHED_PERCENT {
+            return;
+        }
         // Identifies the instance, so that one crash seen by two entries counts once.
         let crash = key::rendezvous_weight(
             target.instance.vm.as_str(),
--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         shared::Shared,
-        traffic::{attempt::Call, attempts::Attempts, body::Body, choose, refusal},
+        traffic::{attempt::Call, attempts::Attempts, body::Body, choose, refusal, relay},
     },
     bytes::Bytes,
     conf::routing::{RequestKind, Route, Routing},
@@ -30,8 +30,31 @@
 /// The time before the deadline of the caller at which the response must be complete.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// From a caller.
+    Caller,
+    /// From another entry, which has made so many attempts.
+    Entry {
+        /// The number of attempts in which anything was sent.
+        sent: u32,
+    },
+}
+
+impl Origin {
+    /// Returns the number of attempts that were made before the request arrived here.
+    pub(crate) const fn attempts_made(self) -> u32 {
+        match self {
+            Self::Caller => 0,
+            Self::Entry { sent } => sent,
+        }
+    }
+}
+
 /// A request that matched a route and was read in full.
 pub(crate) struct AdmittedRequest {
+    pub(crate) origin: Origin,
     pub(crate) route: Route,
     pub(crate) service: Service,
     pub(crate) keyed: bool,
@@ -58,19 +81,35 @@
     map: u64,
 }
 
-/// Handles one request and returns the response or refusal.
+/// Handles one request of a caller and returns the response or refusal.
 pub(crate) async fn handle_request(
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<Body> {
+    handle(shared, request, Origin::Caller).await
+}
+
+/// Handles one request that another entry passes on.
+pub(crate) async fn handle_relayed(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let sent = relay::attempts_made(request.headers());
+    handle(shared, request, Origin::Entry { sent }).await
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
     let arrived_at = Instant::now();
     let id = header::request_id_value(request.headers()).cloned();
-    let mut response = match admit(&shared, request, arrived_at).await {
+    let mut response = match admit(&shared, request, origin, arrived_at).await {
         Ok(admitted) => serve(&shared, &admitted).await,
         Err(refusal) => {
             let id_text = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             log_refusal(&shared, refusal, None, id_text, arrived_at, 0);
-            refusal::response(refusal, None, DEFAULT_CALLER_TIMEOUT, shared.settings.vm.as_str())
+            let vm = shared.settings.vm.as_str();
+            let mut response = refusal::response(refusal, None, DEFAULT_CALLER_TIMEOUT, vm);
+            mark_refusal(&mut response, origin, refusal);
+            response
         }
     };
     if let Some(id) = id {
@@ -82,6 +121,13 @@
     response
 }
 
+/// Names the reason of a refusal to the entry that passed the request on.
+fn mark_refusal(response: &mut Response<Body>, origin: Origin, refusal: Refusal) {
+    if origin != Origin::Caller && refusal.outcome == route::Outcome::NotRun {
+        relay::mark_refusal(response.headers_mut(), refusal.reason);
+    }
+}
+
 /// Counts a refusal and logs it.
 fn log_refusal(
     shared: &Shared,
@@ -116,8 +162,12 @@
 async fn admit(
     shared: &Shared,
     request: Request<Incoming>,
+    origin: Origin,
     arrived_at: Instant,
 ) -> Result<AdmittedRequest, Refusal> {
+    if origin != Origin::Caller && shared.is_stranded() {
+        return Err(Refusal::not_run(Reason::Unreachable));
+    }
     let snapshot = shared.snapshot.load_full();
     let routing = snapshot.routing.as_ref().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let (parts, incoming) = request.into_parts();
@@ -136,7 +186,7 @@
     let id = header::request_id(&parts.headers).unwrap_or_default().to_owned();
     let at_most_once = route.kind == RequestKind::Once;
     let call = Call { parts, body, deadline, at_most_once };
-    Ok(AdmittedRequest { route, service, keyed, key, fingerprint, call, arrived_at, id })
+    Ok(AdmittedRequest { origin, route, service, keyed, key, fingerprint, call, arrived_at, id })
 }
 
 /// Finds the route of a request. Without one, the request is refused for good only while the routing
@@ -166,7 +216,8 @@
 
 /// Counts an admitted request, makes its attempts, and returns the response or refusal.
 async fn serve(shared: &Arc<Shared>, admitted: &AdmittedRequest) -> Response<Body> {
-    {
+    // The entry that passed a request on has counted it.
+    if admitted.origin == Origin::Caller {
         let mut budgets = shared.budgets();
         let window = || Window::new(shared.settings.retries.window.as_duration());
         budgets
@@ -200,7 +251,10 @@
                 attempts.sent,
             );
             let remaining = admitted.call.remaining();
-            refusal::response(refusal, attempts.due_in, remaining, shared.settings.vm.as_str())
+            let vm = shared.settings.vm.as_str();
+            let mut response = refusal::response(refusal, attempts.due_in, remaining, vm);
+            mark_refusal(&mut response, admitted.origin, refusal);
+            response
         }
     }
 }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -6,5 +6,6 @@
 pub(crate) mod choose;
 pub(crate) mod handle;
 pub(crate) mod refusal;
+pub(crate) mod relay;
 pub(crate) mod server;
 pub(crate) mod target;
--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -28,12 +28,23 @@
 /// The size of the buffer of one connection, in bytes, which is also the largest request head.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
-/// Serves callers until `stop` is true, then waits until every response in flight has ended.
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Callers.
+    Callers,
+    /// Other entries, which pass requests on.
+    Entries,
+}
+
+/// Serves callers, or entries that pass requests on, until `stop` is true, then waits until every
+/// response in flight has ended.
 ///
 /// Returns whether all ended within `timeout`.
 pub(crate) async fn serve(
     listener: TcpListener,
     shared: Arc<Shared>,
+    kind: Kind,
     mut stop: watch::Receiver<bool>,
     timeout: Duration,
 ) -> bool {
@@ -46,7 +57,7 @@
         match accepted {
             Ok((stream, _)) => {
                 shared.counters.count("connections", "accepted");
-                serve_connection(stream, &shared, &graceful);
+                serve_connection(stream, &shared, kind, &graceful);
             }
             Err(error) => {
                 log_failed_accept(&shared, &error);
@@ -69,7 +80,12 @@
 }
 
 /// Serves one connection in a task of its own.
-fn serve_connection(stream: TcpStream, shared: &Arc<Shared>, graceful: &GracefulShutdown) {
+fn serve_connection(
+    stream: TcpStream,
+    shared: &Arc<Shared>,
+    kind: Kind,
+    graceful: &GracefulShutdown,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -79,8 +95,13 @@
     let counted = Arc::clone(shared);
     let shared = Arc::clone(shared);
     let service = service_fn(move |request| {
-        let response = handle::handle_request(Arc::clone(&shared), request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let shared = Arc::clone(&shared);
+        async move {
+            Ok::<_, Infallible>(match kind {
+                Kind::Callers => handle::handle_request(shared, request).await,
+                Kind::Entries => handle::handle_relayed(shared, request).await,
+            })
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -42,6 +42,12 @@
 /// The back-off after a target could not be reached.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(400);
 
+/// The time for which a target that only other entries reach is not tried from here.
+const RELAYED_BACKOFF: Duration = Duration::from_millis(1_500);
+
+/// The time for which requests to a target that no other entry reached are not passed on.
+const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
+
 /// The back-off after a target shed a request.
 const SHED_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -125,6 +131,8 @@
     shed_backoff_until: Mutex<Option<Instant>>,
     /// The end of the back-off after a failed connection.
     unreachable_until: Mutex<Option<Instant>>,
+    /// The time until which no other entry is taken to reach the target.
+    unreached_elsewhere_until: Mutex<Option<Instant>>,
     /// Whether another target answers at the address.
     ended: AtomicBool,
     /// When the target takes no more requests, in microseconds since boot.
@@ -165,6 +173,7 @@
             latency_sum_us: AtomicU64::new(0),
             shed_backoff_until: Mutex::default(),
             unreachable_until: Mutex::default(),
+            unreached_elsewhere_until: Mutex::default(),
             ended: AtomicBool::new(false),
             closes_at_us: AtomicU64::new(NEVER_CLOSES_US),
             denied_spans: Mutex::default(),
@@ -256,6 +265,38 @@
         *lock(&self.unreachable_until) = Some(Instant::now() + UNREACHABLE_BACKOFF);
     }
 
+    /// Keeps requests away from the target for a while, such as from an entry that reaches no target
+    /// itself.
+    pub(crate) fn avoid_for(&self, span: Duration) {
+        *lock(&self.unreachable_until) = Some(Instant::now() + span);
+    }
+
+    /// Returns the number of requests in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns true if the last connection to the target failed a short time ago, and another entry
+    /// may reach it.
+    pub(crate) fn may_be_reached_elsewhere(&self) -> bool {
+        let now = Instant::now();
+        let is_pending = |until: &Mutex<Option<Instant>>| lock(until).is_some_and(|at| now < at);
+        is_pending(&self.unreachable_until)
+            && !is_pending(&self.unreached_elsewhere_until)
+            && !self.ended.load(Ordering::Relaxed)
+            && !self.is_closed()
+    }
+
+    /// Records whether another entry reached the target that this one did not. If so, this entry
+    /// leaves it to the others for longer.
+    pub(crate) fn record_relayed(&self, reached: bool) {
+        if reached {
+            self.avoid_for(RELAYED_BACKOFF);
+        } else {
+            *lock(&self.unreached_elsewhere_until) = Some(Instant::now() + UNREACHED_BACKOFF);
+        }
+    }
+
     /// Records that the target shed a request.
     pub(crate) fn record_shed(&self) {
         *lock(&self.shed_backoff_until) = Some(Instant::now() + SHED_BACKOFF);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,9 +12,11 @@
 pub mod locate;
 pub mod outcome;
 pub mod quarantine;
+pub mod reach;
 
 pub use crate::{
     budget::Budget,
     outcome::{Outcome, Reason, Refusal},
     quarantine::Quarantine,
+    reach::Reach,
 };
--- /dev/null
+++ b/crates/route/tests/reach.rs
@@ -0,0 +1,104 @@
+//! When an entry counts as stranded, in virtual time.
+
+use {
+    route::Reach,
+    std::time::{Duration, Instant},
+};
+
+/// One outcome: after so many milliseconds, a target is reached or not.
+type Step = (u64, u32, bool);
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    is_stranded: bool,
+    unreached_percent: u8,
+}
+
+#[test]
+fn an_entry_is_stranded_if_several_targets_fail_and_none_is_reached() {
+    let cases = [
+        Case { name: "nothing tried", steps: &[], is_stranded: false, unreached_percent: 0 },
+        Case {
+            name: "one dead target fails often",
+            steps: &[(0, 1, false), (100, 1, false), (200, 1, false), (300, 1, false)],
+            is_stranded: false,
+            unreached_percent: 0,
+        },
+        Case {
+            name: "three dead targets among sound ones",
+            steps: &[(0, 1, false), (0, 2, false), (0, 3, false), (10, 4, true), (20, 5, true)],
+            // The first three outcomes alone look like a lost link.
+            is_stranded: false,
+            unreached_percent: 0,
+        },
+        Case {
+            name: "all targets fail after they were reached",
+            steps: &[
+                (0, 1, true),
+                (0, 2, true),
+                (0, 3, true),
+                (600, 1, false),
+                (700, 2, false),
+                (800, 3, false),
+            ],
+            is_stranded: true,
+            unreached_percent: 100,
+        },
+        Case {
+            name: "one success is not yet a way back",
+            steps: &[(0, 1, false), (0, 2, false), (0, 3, false), (100, 1, true)],
+            is_stranded: true,
+            unreached_percent: 100,
+        },
+        Case {
+            name: "two successes in a row are",
+            steps: &[(0, 1, false), (0, 2, false), (0, 3, false), (100, 1, true), (200, 2, true)],
+            is_stranded: false,
+            unreached_percent: 0,
+        },
+        Case {
+            name: "a failure in between starts over",
+            steps: &[
+                (0, 1, false),
+                (0, 2, false),
+                (0, 3, false),
+                (100, 1, true),
+                (200, 2, false),
+                (300, 3, true),
+            ],
+            is_stranded: true,
+            unreached_percent: 100,
+        },
+        Case {
+            name: "half of the targets are reached",
+            steps: &[
+                (0, 1, true),
+                (0, 2, true),
+                (0, 3, true),
+                (10, 4, false),
+                (10, 5, false),
+                (10, 6, false),
+            ],
+            is_stranded: false,
+            unreached_percent: 50,
+        },
+        Case {
+            name: "old outcomes say nothing",
+            steps: &[(0, 1, false), (0, 2, false), (5_000, 3, false), (5_000, 4, true)],
+            is_stranded: false,
+            unreached_percent: 0,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut reach = Reach::default();
+        let mut now = start;
+        for (after_ms, target, reached) in case.steps {
+            now = start + Duration::from_millis(*after_ms);
+            reach.record(target, *reached, now);
+        }
+        assert_eq!(reach.is_stranded(), case.is_stranded, "{}", case.name);
+        assert_eq!(reach.unreached_percent(now), case.unreached_percent, "{}", case.name);
+    }
+}
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -244,8 +244,8 @@
         let store_proxy = Arc::new(Proxy::default());
         let (proxy_listener, proxied_store_address) = bind_free_address().await;
         tokio::spawn(Arc::clone(&store_proxy).forward_connections(proxy_listener, store_address));
-        let [caller_address, ready_address, peer_address, metrics_address] =
-            [(); 4].map(|()| free_address());
+        let [caller_address, ready_address, peer_address, relay_address, metrics_address] =
+            [(); 5].map(|()| free_address());
         let vm = format!("e{index}");
         let settings = json!({
             "vm": vm,
@@ -253,6 +253,7 @@
             "listen": caller_address,
             "ready_listen": ready_address,
             "peer_listen": peer_address,
+            "relay_listen": relay_address,
             "metrics_listen": metrics_address,
             "store": proxied_store_address,
             "grace": "6s",
