Let an entry lead that reaches the targets

Callers of every entry lost the keys while a leader was cut off from all targets: it reached the store and the other entries, so nobody replaced it, and none of its grants and renewals arrived.

Cause: the right to lead followed from the store and the other entries only. Class of fault: a health check that leaves out what the work needs.

Reports now say which share of the targets an entry does not reach, from its requests and grants. A leader that reaches a quarter less than another entry resigns, and an entry that reaches as much more takes over; targets that nobody reaches change nothing. A stranded entry campaigns only after 4 s without a leader. The time until a successor campaigns counts from the first reply that says that the leader resigns: each reply counted as a heartbeat before, so that low ranks never campaigned.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -130,6 +130,9 @@
     /// The newest revision of limits that the entry knows.
     #[serde(default)]
     pub(crate) limit_revision: LimitRevision,
+    /// The share of targets that the entry does not reach, in percent.
+    #[serde(default)]
+    pub(crate) unreached_percent: u8,
 }
 
 /// A map with its version.
@@ -174,8 +177,12 @@
 pub(crate) struct Reply {
     /// Whether the process that replies believes that it leads.
     pub(crate) leads: bool,
-    /// Whether it cannot reach the store and asks to be replaced.
+    /// Whether it asks to be replaced: it cannot reach the store, or reaches far fewer targets than
+    /// another entry.
     pub(crate) resigning: bool,
+    /// The share of targets that it does not reach, in percent, if it resigns for that.
+    #[serde(default)]
+    pub(crate) unreached_percent: Option<u8>,
     /// The number of entries that report, the leader included.
     pub(crate) entries: usize,
     /// The version of the leader's routing configuration.
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -6,7 +6,7 @@
 //! `hold` decides when it campaigns.
 
 use {
-    super::State,
+    super::{State, reporting::reaches_more},
     crate::{
         control::{
             feeds::send,
@@ -37,6 +37,9 @@
 /// reports less often, so that the leader's work stays constant.
 const ENTRIES_AT_MIN_INTERVAL: f64 = 20.0;
 
+/// The time without a leader after which an entry campaigns that reaches no target.
+const STRANDED_CAMPAIGN_DELAY: Duration = Duration::from_secs(4);
+
 /// The time between two reads of the maps, which an entry reads from the store while the leader is
 /// unresponsive.
 const MAP_POLL_INTERVAL: Duration = Duration::from_millis(800);
@@ -83,6 +86,12 @@
         {
             return;
         }
+        // An entry that reaches targets takes the lead before one that does not.
+        if self.shared.is_stranded()
+            && self.election.unresponsive_for(now) < STRANDED_CAMPAIGN_DELAY
+        {
+            return;
+        }
         let rank = self.rank();
         // At the first start no entry knows the others yet. The delay gives the most powerful entry
         // the best chance to lead.
@@ -204,6 +213,7 @@
             leadership: self.leadership_version,
             limits: self.heard_limits(now),
             limit_revision: self.limit_revision,
+            unreached_percent: self.shared.unreached_percent(),
         }
     }
 
@@ -213,6 +223,13 @@
         self.is_store_unavailable(now) || self.registry.is_empty()
     }
 
+    /// Returns true if this entry may replace a leader that resigns, and that does not reach a share
+    /// of the targets if it resigns for that.
+    fn may_succeed(&self, leader_unreached_percent: Option<u8>) -> bool {
+        leader_unreached_percent
+            .is_none_or(|percent| reaches_more(self.shared.unreached_percent(), percent))
+    }
+
     /// Applies the leader's reply to a report.
     pub(super) fn handle_reply(&mut self, leader: &Vm, reply: Option<Reply>, now: Tick) {
         self.report_in_flight = false;
@@ -227,8 +244,13 @@
                 self.confirm_routing(reply.routing_version, self.reported_at.before(age));
             }
             self.apply_limits(&reply, now);
-            self.election.record_heartbeat(now);
-            self.resigning = reply.resigning;
+            let resigning = reply.resigning && self.may_succeed(reply.unreached_percent);
+            // A leader that resigns stays responsive. The time until its successor campaigns counts
+            // from the first reply that says so.
+            if !(resigning && self.resigning) {
+                self.election.record_heartbeat(now);
+            }
+            self.resigning = resigning;
             if self.entry_count != reply.entries {
                 self.entry_count = reply.entries;
                 self.dirty = true;
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -58,6 +58,14 @@
 /// limits.
 pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// What the leader remembers of an entry's last report.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LastReport {
+    pub(super) at: Tick,
+    /// The share of targets that the entry does not reach, in percent.
+    pub(super) unreached_percent: u8,
+}
+
 /// The state that only the leader keeps.
 pub(super) struct Leadership {
     pub(super) started_at: Tick,
@@ -77,8 +85,8 @@
     pub(super) recovery: Recovery,
     /// The connections over which targets get grants.
     pub(super) connections: Connections<Connection>,
-    /// When each other entry last reported.
-    pub(super) last_report_at: HashMap<Vm, Tick>,
+    /// The last report of each other entry.
+    pub(super) last_reports: HashMap<Vm, LastReport>,
     /// The rate limits of targets, as the other entries are told.
     pub(super) limits: limit::Board,
     /// The fraction of each limit that coordinators hand out.
@@ -126,7 +134,7 @@
             former_leaders_ended_at: None,
             recovery: Recovery::default(),
             connections: Connections::default(),
-            last_report_at: HashMap::new(),
+            last_reports: HashMap::new(),
             limits: limit::Board::default(),
             coordinated_fraction: 1.0,
         });
@@ -231,9 +239,8 @@
         let needs_row = leadership.planners.values().any(Planner::needs_row);
         let confirmation_due = now.since(leadership.confirmed_at) >= CONFIRMATION_INTERVAL;
         let has_read_rows = leadership.has_read_rows;
-        let reported = leadership.last_report_at.values();
-        let entry_count =
-            reported.filter(|reported_at| now.since(**reported_at) < ENTRY_TIMEOUT).count() + 1;
+        let reports = leadership.last_reports.values();
+        let entry_count = reports.filter(|report| now.since(report.at) < ENTRY_TIMEOUT).count() + 1;
         if entry_count != self.entry_count {
             self.entry_count = entry_count;
             self.dirty = true;
--- a/crates/edge/src/control/state/limiting.rs
+++ b/crates/edge/src/control/state/limiting.rs
@@ -81,7 +81,8 @@
         let Some(leadership) = &self.leadership else { return };
         let silent_for = |vm: &Vm| {
             // An entry that has not reported yet may be about to, or have ended long ago.
-            let last = leadership.last_report_at.get(vm).copied().unwrap_or(leadership.started_at);
+            let last =
+                leadership.last_reports.get(vm).map_or(leadership.started_at, |report| report.at);
             if *vm == self.me.vm { Duration::ZERO } else { now.since(last) }
         };
         let counted = |limit| self.members.keys().filter(|vm| silent_for(vm) < limit).count();
@@ -97,9 +98,7 @@
             .collect();
         let Some(leadership) = &mut self.leadership else { return };
         leadership.coordinated_fraction = fraction;
-        leadership
-            .last_report_at
-            .retain(|_, reported_at| now.since(*reported_at) < SILENT_ENTRY_RETENTION);
+        leadership.last_reports.retain(|_, report| now.since(report.at) < SILENT_ENTRY_RETENTION);
         let mut limits = self.shared.limits();
         limits.set_coordinated_fraction(fraction);
         leadership.limits.update(&mut limits, &candidates);
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -59,6 +59,16 @@
     outcome: &'a str,
 }
 
+/// Returns whether a target was reached with a batch of grants, as far as the outcomes show it.
+fn is_reached(results: &[(Grant, Outcome)]) -> Option<bool> {
+    let (_, outcome) = results.first()?;
+    match outcome {
+        Outcome::Withheld => None,
+        Outcome::Unsent | Outcome::Lost => Some(false),
+        Outcome::Granted | Outcome::Fenced | Outcome::Refused | Outcome::Ended => Some(true),
+    }
+}
+
 impl State {
     /// Starts an action of a planner; its result comes back as an input.
     pub(super) fn execute(&mut self, service: &Service, action: Action) {
@@ -149,6 +159,9 @@
         now: Tick,
     ) {
         self.grant_batches -= 1;
+        if let Some(reached) = is_reached(results) {
+            self.shared.record_reach(instance, reached);
+        }
         for (grant, outcome) in results {
             if *outcome != Outcome::Granted {
                 let outcome = format!("{outcome:?}");
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -1,13 +1,35 @@
 //! What the leader does with the reports of all entries, and its replies.
 
 use {
-    super::{RecentCrash, State},
+    super::{
+        RecentCrash, State,
+        leading::{ENTRY_TIMEOUT, LastReport},
+    },
     crate::control::peers::{Reply, Report, VersionedRegistration},
     key::clock::Tick,
     std::time::Instant,
 };
 
+/// How many percent more of the targets another entry has to reach before it takes the lead.
+const YIELD_MARGIN_PERCENT: u8 = 25;
+
+/// Returns true if an entry that does not reach a share of the targets should lead instead of one
+/// that does not reach `leader_percent`.
+pub(super) const fn reaches_more(percent: u8, leader_percent: u8) -> bool {
+    percent.saturating_add(YIELD_MARGIN_PERCENT) <= leader_percent
+}
+
 impl State {
+    /// Returns true if another entry reaches far more targets than this one, the leader. Targets that
+    /// nobody reaches make no difference.
+    fn should_yield(&self, unreached_percent: u8, now: Tick) -> bool {
+        let Some(leadership) = &self.leadership else { return false };
+        let recent = leadership.last_reports.values();
+        recent
+            .filter(|report| now.since(report.at) < ENTRY_TIMEOUT)
+            .any(|report| reaches_more(report.unreached_percent, unreached_percent))
+    }
+
     /// Records what an entry observed: crash reports, ended instances, load and latencies.
     pub(super) fn record_report(&mut self, report: &Report, now: Tick) {
         for crash_report in &report.crash_reports {
@@ -42,13 +64,19 @@
             self.confirm_former_leader(&report.vm, now);
         }
         self.record_heard_limits(report, now);
-        let resigning = self.is_store_unavailable(now);
+        let store_unavailable = self.is_store_unavailable(now);
+        let unreached_percent = Some(self.shared.unreached_percent())
+            .filter(|percent| !store_unavailable && self.should_yield(*percent, now));
+        let resigning = store_unavailable || unreached_percent.is_some();
         let leads = self.leadership.is_some();
         if let Some(leadership) = &mut self.leadership {
-            leadership.last_report_at.insert(report.vm.clone(), now);
+            leadership.last_reports.insert(
+                report.vm.clone(),
+                LastReport { at: now, unreached_percent: report.unreached_percent },
+            );
         }
         self.hear_reported_routing(&report.vm, report.routing, now);
-        let targets = (report.wants_targets && !resigning).then(|| {
+        let targets = (report.wants_targets && !store_unavailable).then(|| {
             let registered = self.registry.targets().filter(|target| target.is_registered());
             registered
                 .map(|target| VersionedRegistration {
@@ -62,6 +90,7 @@
         Reply {
             leads,
             resigning,
+            unreached_percent,
             entries: self.entry_count,
             routing_version: self.routing_version(),
             routing_age_ms: self.routing.in_force_at().map(|at| now.since(at).as_millis() as u64),
