--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -89,6 +89,10 @@
         self.signal(Signal::CONT);
     }
 
+    pub(crate) fn send_kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
     pub(crate) fn terminate(&self) {
         self.signal(Signal::TERM);
     }
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -321,6 +321,13 @@
         self.entries[index].process = None;
     }
 
+    /// Kills an entry with SIGKILL while requests to the site are pending, and leaves it there.
+    pub fn kill_entry_now(&self, index: usize) {
+        if let Some(process) = &self.entries[index].process {
+            process.send_kill();
+        }
+    }
+
     /// Sends SIGTERM to an entry, which starts a planned stop.
     pub fn terminate_entry(&self, index: usize) {
         if let Some(process) = &self.entries[index].process {
