Share the opening of sockets and the removal of hop-by-hop headers

Both stood twice, in the data paths of both families; the product's own conventions now also remove the headers that Connection names.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -10,10 +10,7 @@
         },
     },
     bytes::{Bytes, BytesMut},
-    http::{
-        HeaderMap, HeaderName, Request, Response, StatusCode, Version, header as standard,
-        request::Parts,
-    },
+    http::{HeaderMap, Request, Response, StatusCode, Version, header as standard, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
     key::clock::Tick,
@@ -25,18 +22,6 @@
     tokio::time,
 };
 
-/// The hop-by-hop headers, which are not forwarded.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    standard::CONNECTION,
-    standard::PROXY_AUTHENTICATE,
-    standard::PROXY_AUTHORIZATION,
-    standard::TE,
-    standard::TRAILER,
-    standard::TRANSFER_ENCODING,
-    standard::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// The largest response body of known length that is buffered before it is passed on, in bytes. If a
 /// buffered one breaks off, another attempt can replace it.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 1 << 20;
@@ -195,7 +180,7 @@
         target.record_latency(Tick::now().since(sent_at));
     }
     let (mut parts, incoming) = response.into_parts();
-    remove_hop_by_hop(&mut parts.headers);
+    wire::remove_hop_by_hop(&mut parts.headers);
     let answer = |body| AttemptResult::Answered(Box::new(Response::from_parts(parts, body)));
     let stream = |prefix, incoming, connection: Connection| {
         let (shared, instance) = (Arc::clone(shared), connection.target.instance.clone());
@@ -272,7 +257,7 @@
     *request.uri_mut() = call.parts.uri.clone();
     let headers = request.headers_mut();
     *headers = call.parts.headers.clone();
-    remove_hop_by_hop(headers);
+    wire::remove_hop_by_hop(headers);
     headers.remove(standard::EXPECT);
     header::set_deadline(headers, remaining);
     match way {
@@ -289,17 +274,3 @@
 pub(crate) fn is_failure<B>(response: &Response<B>) -> bool {
     response.status().is_server_error() && response.status() != StatusCode::NOT_IMPLEMENTED
 }
-
-/// Removes the hop-by-hop headers, those that `Connection` names included.
-fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let connection_headers: Vec<HeaderName> = headers
-        .get_all(standard::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in connection_headers.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-}
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -216,7 +216,7 @@
     /// Opens a connection.
     async fn open(&self) -> Result<Channel, ConnectError> {
         let connect = async {
-            let socket = wire::socket(self.source)?;
+            let socket = wire::socket(self.address, self.source)?;
             SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
             let stream = socket.connect(self.address).await?;
             stream.set_nodelay(true)?;
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -6,10 +6,7 @@
         body::Body,
         target::{ConnectError, Connection, Target},
     },
-    http::{
-        HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
-        header as standard,
-    },
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header as standard},
     hyper::body::Incoming,
     key::Fence,
     route::{Reason, header},
@@ -20,17 +17,6 @@
     tokio::time,
 };
 
-/// The headers that apply to a single connection and are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
-    standard::CONNECTION,
-    standard::PROXY_AUTHENTICATE,
-    standard::PROXY_AUTHORIZATION,
-    standard::TE,
-    standard::TRAILER,
-    standard::TRANSFER_ENCODING,
-    standard::UPGRADE,
-];
-
 /// The target of an attempt, with the fencing token if the target owns the shard of the request.
 #[derive(Clone, Debug)]
 pub(crate) struct Destination {
@@ -175,7 +161,7 @@
     *request.uri_mut() = path.parse().ok()?;
     let headers = request.headers_mut();
     *headers = admitted.parts.headers.clone();
-    remove_hop_by_hop(headers);
+    wire::remove_hop_by_hop(headers);
     headers.remove(standard::CONTENT_LENGTH);
     headers.remove(standard::EXPECT);
     headers.insert(header::REQUEST_ID, id.clone());
@@ -195,14 +181,6 @@
     duration.as_millis() as u64
 }
 
-/// Removes the headers that apply to a single connection.
-pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    for name in &HOP_BY_HOP_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-}
-
 fn parse_header(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/entry/src/traffic/handle.rs
+++ b/crates/entry/src/traffic/handle.rs
@@ -449,7 +449,7 @@
 ) -> Response<Body> {
     tracker.record_response(&connection.target);
     let (mut parts, incoming) = response.into_parts();
-    attempt::remove_hop_by_hop(&mut parts.headers);
+    wire::remove_hop_by_hop(&mut parts.headers);
     for name in [
         header::REQUEST_ID,
         header::TARGET_NOW_MS,
--- a/crates/entry/src/traffic/target.rs
+++ b/crates/entry/src/traffic/target.rs
@@ -15,7 +15,6 @@
     },
     thiserror::Error as Derive,
     tokio::{
-        net::TcpSocket,
         sync::{OwnedSemaphorePermit, Semaphore},
         time,
     },
@@ -184,11 +183,7 @@
     }
 
     async fn open(&self) -> std::io::Result<SendRequest<Body>> {
-        let socket =
-            if self.address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        if let Some(source) = self.options.source {
-            socket.bind((source, 0).into())?;
-        }
+        let socket = wire::socket(self.address, self.options.source)?;
         let stream = time::timeout(CONNECT_TIMEOUT, socket.connect(self.address))
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
--- a/crates/peer/src/rpc.rs
+++ b/crates/peer/src/rpc.rs
@@ -23,7 +23,7 @@
         tokio_serde::formats::Bincode,
         tokio_util::codec::LengthDelimitedCodec,
     },
-    tokio::{net::TcpSocket, task::JoinSet, time},
+    tokio::{task::JoinSet, time},
 };
 
 const MAX_FRAME_BYTES: usize = 64 << 20;
@@ -77,10 +77,7 @@
     source: Option<IpAddr>,
     timeout: Duration,
 ) -> Result<Client, Error> {
-    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    if let Some(source) = source {
-        socket.bind((source, 0).into())?;
-    }
+    let socket = wire::socket(peer, source)?;
     let stream = time::timeout(CONNECT_TIMEOUT, socket.connect(peer))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -30,7 +30,8 @@
         Self { address, timeout: DEFAULT_TIMEOUT, source: None }
     }
 
-    /// Sets the timeout of one request, from connecting to the end of the response.
+    /// Sets the timeout of one request until the head of the response, and then for each further part
+    /// of it: a scan is as large as the table.
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -49,7 +50,11 @@
     pub fn build(self) -> Client {
         Client {
             address: self.address,
-            http: wire::Config::default().timeout(self.timeout).source(self.source).build(),
+            http: wire::Config::default()
+                .timeout(self.timeout)
+                .stall_timeout(Some(self.timeout))
+                .source(self.source)
+                .build(),
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod client;
 mod error;
+mod forward;
 mod server;
 mod socket;
 
 pub use crate::{
     client::{Client, Config},
     error::{Error, ErrorKind},
+    forward::remove_hop_by_hop,
     server::{Reply, json, read_body, read_json, serve, status},
     socket::socket,
 };
