Decide in the election when reach moves the lead, and test it in virtual time

The rule stood in the control thread, out of reach of tests without processes. Now in hold::election: two takeovers in a row, a leader that reaches half of the targets, targets that nobody reaches, and an entry of low rank whose leader resigns and answers.

--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -6,7 +6,7 @@
 //! `hold` decides when it campaigns.
 
 use {
-    super::{State, reporting::reaches_more},
+    super::State,
     crate::{
         control::{
             feeds::send,
@@ -16,7 +16,10 @@
         },
         shared::Feedback,
     },
-    hold::{Map, election::Verdict},
+    hold::{
+        Map,
+        election::{Verdict, outreaches},
+    },
     key::{Version, Vm, clock::Tick},
     platform::{
         Store,
@@ -227,7 +230,7 @@
     /// of the targets if it resigns for that.
     fn may_succeed(&self, leader_unreached_percent: Option<u8>) -> bool {
         leader_unreached_percent
-            .is_none_or(|percent| reaches_more(self.shared.unreached_percent(), percent))
+            .is_none_or(|percent| outreaches(self.shared.unreached_percent(), percent))
     }
 
     /// Applies the leader's reply to a report.
@@ -244,13 +247,12 @@
                 self.confirm_routing(reply.routing_version, self.reported_at.before(age));
             }
             self.apply_limits(&reply, now);
-            let resigning = reply.resigning && self.may_succeed(reply.unreached_percent);
-            // A leader that resigns stays responsive. The time until its successor campaigns counts
-            // from the first reply that says so.
-            if !(resigning && self.resigning) {
+            self.resigning = reply.resigning && self.may_succeed(reply.unreached_percent);
+            if self.resigning {
+                self.election.record_resignation(now);
+            } else {
                 self.election.record_heartbeat(now);
             }
-            self.resigning = resigning;
             if self.entry_count != reply.entries {
                 self.entry_count = reply.entries;
                 self.dirty = true;
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -6,19 +6,11 @@
         leading::{ENTRY_TIMEOUT, LastReport},
     },
     crate::control::peers::{Reply, Report, VersionedRegistration},
+    hold::election::outreaches,
     key::clock::Tick,
     std::time::Instant,
 };
 
-/// How many percent more of the targets another entry has to reach before it takes the lead.
-const YIELD_MARGIN_PERCENT: u8 = 25;
-
-/// Returns true if an entry that does not reach a share of the targets should lead instead of one
-/// that does not reach `leader_percent`.
-pub(super) const fn reaches_more(percent: u8, leader_percent: u8) -> bool {
-    percent.saturating_add(YIELD_MARGIN_PERCENT) <= leader_percent
-}
-
 impl State {
     /// Returns true if another entry reaches far more targets than this one, the leader. Targets that
     /// nobody reaches make no difference.
@@ -27,7 +19,7 @@
         let recent = leadership.last_reports.values();
         recent
             .filter(|report| now.since(report.at) < ENTRY_TIMEOUT)
-            .any(|report| reaches_more(report.unreached_percent, unreached_percent))
+            .any(|report| outreaches(report.unreached_percent, unreached_percent))
     }
 
     /// Records what an entry observed: crash reports, ended instances, load and latencies.
--- a/crates/hold/src/election.rs
+++ b/crates/hold/src/election.rs
@@ -32,6 +32,16 @@
 /// How long a new process waits before it campaigns where there is no leader.
 const INITIAL_CAMPAIGN_DELAY: Duration = Duration::from_millis(150);
 
+/// How many percent more of the targets an entry has to reach to lead in place of another one.
+const REACH_MARGIN_PERCENT: u8 = 25;
+
+/// Returns true if an entry that does not reach a share of the targets should lead in place of one that
+/// does not reach `leader_percent` of them. Targets that neither reaches make no difference.
+#[must_use]
+pub const fn outreaches(unreached_percent: u8, leader_percent: u8) -> bool {
+    unreached_percent.saturating_add(REACH_MARGIN_PERCENT) <= leader_percent
+}
+
 /// What an entry does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -65,6 +75,8 @@
     not_before: Tick,
     /// Whether the last poll spoke for a campaign.
     poll_supports_campaign: bool,
+    /// Whether the leader asked to be replaced when it last answered.
+    is_leader_resigning: bool,
     poll_after: Duration,
     unresponsive_after: Duration,
 }
@@ -77,6 +89,7 @@
             last_heartbeat_at: now,
             not_before: now.plus(INITIAL_CAMPAIGN_DELAY),
             poll_supports_campaign: false,
+            is_leader_resigning: false,
             poll_after: MIN_POLL_AFTER,
             unresponsive_after: MIN_UNRESPONSIVE_AFTER,
         }
@@ -93,6 +106,16 @@
     pub const fn record_heartbeat(&mut self, now: Tick) {
         self.last_heartbeat_at = now;
         self.poll_supports_campaign = false;
+        self.is_leader_resigning = false;
+    }
+
+    /// Records that the leader answered and asks to be replaced by an entry such as this one. The time
+    /// until this entry campaigns counts from the first such answer, since the others go on.
+    pub const fn record_resignation(&mut self, now: Tick) {
+        if !self.is_leader_resigning {
+            self.record_heartbeat(now);
+            self.is_leader_resigning = true;
+        }
     }
 
     /// Returns the time since the leader's last heartbeat.
--- a/crates/hold/tests/election.rs
+++ b/crates/hold/tests/election.rs
@@ -3,7 +3,7 @@
 use {
     hold::{
         Election,
-        election::{Leader, Verdict},
+        election::{Leader, Verdict, outreaches},
     },
     key::clock::Tick,
     std::time::Duration,
@@ -156,3 +156,126 @@
     assert!(!election.is_leader_unresponsive(start.plus(Duration::from_millis(2_000))));
     assert!(election.is_leader_unresponsive(start.plus(Duration::from_millis(2_500))));
 }
+
+/// A leader that resigned answered its reports all the same, and each answer put off the campaigns of
+/// entries with lower ranks.
+#[test]
+fn an_entry_of_low_rank_replaces_a_leader_that_resigns_and_answers() {
+    const REPORT_INTERVAL_MS: u64 = 250;
+    const RANK: usize = 8;
+    let mut election = Election::new(tick_at_ms(0));
+    let resigning = Leader::Other { resigning: true };
+    let mut verdict = Verdict::Wait;
+    for now_ms in (1_000..2_000).step_by(50) {
+        if now_ms % REPORT_INTERVAL_MS == 0 {
+            election.record_resignation(tick_at_ms(now_ms));
+        }
+        verdict = election.decide(resigning, RANK, tick_at_ms(now_ms));
+        if verdict != Verdict::Wait {
+            break;
+        }
+    }
+    assert_eq!(verdict, Verdict::Campaign);
+}
+
+/// A fleet in virtual time, of which some entries do not reach some targets.
+struct Fleet {
+    elections: Vec<Election>,
+    leader: usize,
+    takeovers: usize,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let elections = vec![Election::new(tick_at_ms(0)); size];
+        Self { elections, leader: 0, takeovers: 0 }
+    }
+
+    /// Runs for a second from `start_ms` on: every entry reports each 250 ms, and campaigns by rank.
+    fn run(&mut self, start_ms: u64, unreached_percents: &[u8]) {
+        for now_ms in (start_ms..start_ms + 1_000).step_by(50) {
+            let now = tick_at_ms(now_ms);
+            for entry in 0..self.elections.len() {
+                if entry == self.leader {
+                    continue;
+                }
+                let leader_percent = unreached_percents[self.leader];
+                let yields =
+                    unreached_percents.iter().any(|percent| outreaches(*percent, leader_percent));
+                let resigning = yields && outreaches(unreached_percents[entry], leader_percent);
+                if now_ms % 250 == 0 {
+                    if resigning {
+                        self.elections[entry].record_resignation(now);
+                    } else {
+                        self.elections[entry].record_heartbeat(now);
+                    }
+                }
+                let verdict = self.elections[entry].decide(Leader::Other { resigning }, entry, now);
+                if verdict == Verdict::Campaign {
+                    self.leader = entry;
+                    self.takeovers += 1;
+                    self.elections.iter_mut().for_each(|election| election.record_heartbeat(now));
+                }
+            }
+        }
+    }
+}
+
+/// A leader that reached no target went on leading.
+#[test]
+fn the_lead_goes_where_reach_is() {
+    struct Case {
+        name: &'static str,
+        /// For each second, the share of targets that each entry does not reach, in percent.
+        seconds: &'static [[u8; 5]],
+        leader: usize,
+        takeovers: usize,
+    }
+    let cases = [
+        Case { name: "all reach all", seconds: &[[0; 5]; 3], leader: 0, takeovers: 0 },
+        Case {
+            name: "the leader is stranded",
+            seconds: &[[100, 0, 0, 0, 0]; 2],
+            leader: 1,
+            takeovers: 1,
+        },
+        Case {
+            name: "the leader and the next ones are",
+            seconds: &[[100, 100, 100, 0, 0]; 2],
+            leader: 3,
+            takeovers: 1,
+        },
+        Case {
+            name: "two takeovers in a row",
+            seconds: &[[100, 0, 0, 0, 0], [100, 100, 0, 0, 0], [0, 100, 0, 0, 0]],
+            leader: 2,
+            takeovers: 2,
+        },
+        Case {
+            name: "the leader reaches half of the targets",
+            seconds: &[[50, 0, 0, 0, 0]; 2],
+            leader: 1,
+            takeovers: 1,
+        },
+        Case {
+            name: "a third of the targets is lost to all",
+            seconds: &[[33, 33, 34, 33, 30]; 3],
+            leader: 0,
+            takeovers: 0,
+        },
+        Case { name: "all are stranded", seconds: &[[100; 5]; 3], leader: 0, takeovers: 0 },
+        Case {
+            name: "a little more reach is no reason",
+            seconds: &[[20, 0, 0, 0, 0]; 3],
+            leader: 0,
+            takeovers: 0,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(5);
+        for (second, unreached_percents) in case.seconds.iter().enumerate() {
+            fleet.run(1_000 * (second as u64 + 1), unreached_percents);
+        }
+        assert_eq!((fleet.leader, fleet.takeovers), (case.leader, case.takeovers), "{}", case.name);
+    }
+}
