--- a/crates/report/src/explain.rs
+++ b/crates/report/src/explain.rs
@@ -196,6 +196,7 @@
     };
     let field = |name: &str| refused.fields.get(name).and_then(Value::as_str).unwrap_or("");
     let needed = match field("reason") {
+        "outdated-configuration" => "the leader or the store to confirm the routing configuration",
         "no-configuration" => "the process to have read the routing text from the store or a peer",
         "unknown-service" => "a route for its host and path in the version in force",
         "no-owner" => "a target that holds the key: see the orders about the key",
