Obey what targets say of themselves: that they leave, and when to come back

No code read Server-Leaving or the Retry-After of a target's 503: a target that left and said so only in its answers got requests for as long as the store was silent, and one that asked for time got the next request at once.

An answer's notice is decoded once in the adapter. Leaving closes the target in the data path by its own word, which reports and replies pass on; a deferral keeps requests away until its end, refuses those without a choice at once with the time left, and then lets one request at a time find out.

--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -83,6 +83,14 @@
     }
 }
 
+/// That a target said in an answer that it leaves.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct LeavingNotice {
+    pub(crate) target: Instance,
+    /// How long ago it said so first.
+    pub(crate) age_ms: u64,
+}
+
 /// The revision of a leader's board of limits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LimitRevision {
@@ -133,6 +141,9 @@
     /// The share of targets that the entry does not reach, in percent.
     #[serde(default)]
     pub(crate) unreached_percent: u8,
+    /// The targets that said a short time ago that they leave.
+    #[serde(default)]
+    pub(crate) leaving: Vec<LeavingNotice>,
 }
 
 /// A map with its version.
@@ -183,6 +194,9 @@
     /// The share of targets that it does not reach, in percent, if it resigns for that.
     #[serde(default)]
     pub(crate) unreached_percent: Option<u8>,
+    /// The targets that said a short time ago that they leave.
+    #[serde(default)]
+    pub(crate) leaving: Vec<LeavingNotice>,
     /// The number of entries that report, the leader included.
     pub(crate) entries: usize,
     /// The version of the leader's routing configuration.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -282,6 +282,7 @@
             self.run_follower(now);
         }
         self.expire_limits(now);
+        self.collect_leaving_instances();
         self.fetch_routing(now);
         self.send_report(now);
         self.dirty |= self.registry.has_grace_period_within(GRACE_PERIOD_TAIL, now);
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -7,14 +7,11 @@
 
 use {
     super::State,
-    crate::{
-        control::{
-            feeds::send,
-            input::Input,
-            peers::{KeyCount, KeyLoad, LatencyStats, Reply, Report},
-            records::Member,
-        },
-        shared::Feedback,
+    crate::control::{
+        feeds::send,
+        input::Input,
+        peers::{KeyCount, KeyLoad, LatencyStats, Reply, Report},
+        records::Member,
     },
     hold::{
         Map,
@@ -187,8 +184,14 @@
 
     /// Collects a report, and resets the observations that it carries.
     fn make_report(&self, now: Tick) -> Report {
-        let Feedback { requests_by_key, crash_reports, ended_instances } =
-            std::mem::take(&mut *self.shared.feedback());
+        let (requests_by_key, crash_reports, ended_instances) = {
+            let mut feedback = self.shared.feedback();
+            (
+                std::mem::take(&mut feedback.requests_by_key),
+                std::mem::take(&mut feedback.crash_reports),
+                std::mem::take(&mut feedback.ended_instances),
+            )
+        };
         let mut load = BTreeMap::new();
         for ((service, key), requests) in requests_by_key {
             let keys: &mut Vec<KeyCount> = load.entry(service).or_default();
@@ -217,6 +220,7 @@
             limits: self.heard_limits(now),
             limit_revision: self.limit_revision,
             unreached_percent: self.shared.unreached_percent(),
+            leaving: self.leaving_notices(now),
         }
     }
 
@@ -247,6 +251,7 @@
                 self.confirm_routing(reply.routing_version, self.reported_at.before(age));
             }
             self.apply_limits(&reply, now);
+            self.apply_leaving_notices(&reply.leaving, now);
             self.resigning = reply.resigning && self.may_succeed(reply.unreached_percent);
             if self.resigning {
                 self.election.record_resignation(now);
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -13,13 +13,9 @@
         registry::{Availability, State as RegistrationState},
     },
     key::{Service, Vm, clock::Tick},
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
-/// The part of the time limit for leaving targets that is held back for latency: the delivery of
-/// the store's change to this process, and the last request on its way to the target.
-const LEAVING_MARGIN: Duration = Duration::from_millis(400);
-
 /// The number of other entries that an entry may pass requests on to; the most powerful ones.
 const MAX_RELAY_CANDIDATES: usize = 24;
 
@@ -114,10 +110,7 @@
         let registered = self.registry.get(&registration.vm)?;
         match self.registry.availability(registered, now) {
             Availability::Ready => None,
-            Availability::Leaving(since) => {
-                let limit = self.shared.settings.leaving.as_duration();
-                Some(since.plus(limit.saturating_sub(LEAVING_MARGIN)))
-            }
+            Availability::Leaving(since) => Some(since.plus(self.shared.leaving_span())),
         }
     }
 }
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -5,13 +5,42 @@
         RecentCrash, State,
         leading::{ENTRY_TIMEOUT, LastReport},
     },
-    crate::control::peers::{Reply, Report, VersionedRegistration},
+    crate::control::peers::{LeavingNotice, Reply, Report, VersionedRegistration},
     hold::election::outreaches,
     key::clock::Tick,
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
+/// The time for which the word of a target that it leaves is passed on.
+const LEAVING_NOTICE_TTL: Duration = Duration::from_secs(6);
+
 impl State {
+    /// Records the targets that said to this entry that they leave.
+    pub(super) fn collect_leaving_instances(&mut self) {
+        let said = std::mem::take(&mut self.shared.feedback().leaving_instances);
+        for (instance, said_at) in said {
+            self.dirty |= self.registry.record_said_leaving(&instance, said_at);
+        }
+    }
+
+    /// Returns the targets that said a short time ago, to any entry, that they leave.
+    pub(super) fn leaving_notices(&self, now: Tick) -> Vec<LeavingNotice> {
+        let said = self.registry.said_leaving_within(LEAVING_NOTICE_TTL, now);
+        let to_notice = |(target, said_at)| LeavingNotice {
+            target,
+            age_ms: now.since(said_at).as_millis() as u64,
+        };
+        said.map(to_notice).collect()
+    }
+
+    /// Records the targets that said to other entries that they leave.
+    pub(super) fn apply_leaving_notices(&mut self, notices: &[LeavingNotice], now: Tick) {
+        for notice in notices {
+            let said_at = now.before(Duration::from_millis(notice.age_ms));
+            self.dirty |= self.registry.record_said_leaving(&notice.target, said_at);
+        }
+    }
+
     /// Returns true if another entry reaches far more targets than this one, the leader. Targets that
     /// nobody reaches make no difference.
     fn should_yield(&self, unreached_percent: u8, now: Tick) -> bool {
@@ -56,6 +85,7 @@
             self.confirm_former_leader(&report.vm, now);
         }
         self.record_heard_limits(report, now);
+        self.apply_leaving_notices(&report.leaving, now);
         let store_unavailable = self.is_store_unavailable(now);
         let unreached_percent = Some(self.shared.unreached_percent())
             .filter(|percent| !store_unavailable && self.should_yield(*percent, now));
@@ -83,6 +113,7 @@
             leads,
             resigning,
             unreached_percent,
+            leaving: self.leaving_notices(now),
             entries: self.entry_count,
             routing_version: self.routing_version(),
             routing_age_ms: self.routing.in_force_at().map(|at| now.since(at).as_millis() as u64),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,12 +1,15 @@
 //! The state that the traffic and the control thread share.
 
 use {
-    crate::{currency::Currency, metrics::Counters, permit, snapshot::Snapshot},
+    crate::{
+        currency::Currency, metrics::Counters, permit, snapshot::Snapshot, traffic::target::Target,
+    },
     arc_swap::ArcSwap,
     conf::PlatformSettings,
     hold::Instance,
     key::{Service, clock::Tick},
     limit::{Change, Rate, Table},
+    platform::header::Notice,
     report::Journal,
     route::{Quarantine, Reach, budget::Window, quarantine::CrashReport},
     serde::Serialize,
@@ -17,11 +20,15 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
 
+/// The part of the time limit for leaving targets that is held back for latency: the delivery of
+/// the store's change to this process, and the last request on its way to the target.
+const LEAVING_MARGIN: Duration = Duration::from_millis(400);
+
 /// What traffic has observed since the control thread last collected it.
 #[derive(Debug, Default)]
 pub(crate) struct Feedback {
@@ -31,6 +38,8 @@
     pub(crate) crash_reports: Vec<CrashReport>,
     /// Instances of targets at whose address another target answers.
     pub(crate) ended_instances: Vec<Instance>,
+    /// Instances of targets that said that they leave, and when.
+    pub(crate) leaving_instances: Vec<(Instance, Tick)>,
 }
 
 /// The state that both threads use.
@@ -118,6 +127,40 @@
         lock(&self.limits)
     }
 
+    /// Returns the time for which a target gets requests after it was known to leave.
+    pub(crate) fn leaving_span(&self) -> Duration {
+        self.settings.leaving.as_duration().saturating_sub(LEAVING_MARGIN)
+    }
+
+    /// Records what a target says of itself in an answer.
+    pub(crate) fn record_notice(&self, target: &Target, notice: Notice) {
+        #[derive(Serialize)]
+        struct NoticeLine<'a> {
+            target: &'a str,
+            says: &'a str,
+            for_ms: u64,
+        }
+        let log = |says: &str, span: Duration| {
+            self.counters.count("notices", says);
+            let target = target.instance.vm.as_str();
+            let for_ms = span.as_millis() as u64;
+            self.journal.log("notice", &NoticeLine { target, says, for_ms });
+        };
+        let now = Tick::now();
+        if notice.leaving && target.record_leaving(now.plus(self.leaving_span())) {
+            self.feedback().leaving_instances.push((target.instance.clone(), now));
+            log("leaving", self.leaving_span());
+        }
+        if let Some(span) = notice.retry_after
+            && target.record_deferral(span)
+        {
+            log("come back later", span);
+        }
+        if notice.is_odd {
+            log("ignored", Duration::ZERO);
+        }
+    }
+
     /// Returns true if this entry reaches no target, or hardly any.
     pub(crate) fn is_stranded(&self) -> bool {
         lock(&self.reach).is_stranded()
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -122,6 +122,11 @@
         connection.release();
         return AttemptResult::Unsent(ConnectError::Leaving);
     }
+    // This request is one of those in flight.
+    if !target.admits(target.in_flight().saturating_sub(1)) {
+        connection.release();
+        return AttemptResult::Unsent(ConnectError::Deferred);
+    }
     let remaining = call.remaining();
     if remaining.is_zero() {
         return AttemptResult::Unsent(ConnectError::Unreachable);
@@ -167,6 +172,11 @@
     }
     let denial = header::denial(&response, target.instance.vm.as_str());
     if denial != Some(Denial::WrongTarget) && way == Way::Direct {
+        let notice = header::notice(&response);
+        if denial.is_none() {
+            target.end_deferral();
+        }
+        shared.record_notice(&target, notice);
         record_limit(shared, &target, response.headers(), sent_at);
     }
     if let Some(denial) = denial {
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -57,6 +57,13 @@
 /// crash.
 const MAX_CREDIBLE_UNREACHED_PERCENT: u8 = 40;
 
+/// The longest delay by which callers of the highest priority are spread when they come back; each
+/// priority below adds as much.
+const RETURN_SPREAD: Duration = Duration::from_millis(80);
+
+/// The priority from which the spread grows no more.
+const MAX_SPREAD_RANK: u32 = 3;
+
 /// The journal line about a failed attempt.
 #[derive(Serialize)]
 struct AttemptLine<'a> {
@@ -318,6 +325,10 @@
     /// that gets none goes to another target if the service has no keys, or else is refused.
     async fn next_permitted_target(&mut self) -> Result<Arc<Target>, Refusal> {
         const MAX_PERMIT_REQUESTS: usize = 3;
+        if let Some(due_in) = self.deferred_for() {
+            self.due_in = Some(due_in + self.spread());
+            return Err(self.refusal(Reason::RateLimited));
+        }
         for _ in 0..MAX_PERMIT_REQUESTS {
             let target = self.next_target().await?;
             let has_choice = !self.admitted.keyed
@@ -341,6 +352,25 @@
         Err(self.refusal(Reason::RateLimited))
     }
 
+    /// Returns for how long no target wants the request, if that is known.
+    fn deferred_for(&self) -> Option<Duration> {
+        let snapshot = self.shared.snapshot.load();
+        if let Some(key) = self.admitted.key.filter(|_| self.admitted.keyed) {
+            return snapshot.holder(&self.admitted.service, key)?.deferred_for();
+        }
+        let usable = snapshot.ready.get(&self.admitted.service)?;
+        let usable = usable.iter().filter(|target| !target.is_unreachable());
+        let times: Option<Vec<Duration>> = usable.map(|target| target.deferred_for()).collect();
+        times?.into_iter().min()
+    }
+
+    /// Returns a random delay for the return of a refused caller, longer with a lower priority, so that
+    /// callers do not come back all at once.
+    fn spread(&self) -> Duration {
+        let rank = f64::from(self.admitted.route.priority.min(MAX_SPREAD_RANK) + 1);
+        RETURN_SPREAD.mul_f64(rank * rand::random::<f64>())
+    }
+
     /// Returns how long the request can wait for a permit, and its priority. A request that has a
     /// choice of targets does not wait.
     fn permit_request(&self, has_choice: bool) -> PermitRequest {
@@ -385,7 +415,9 @@
             Some(key) if self.admitted.keyed => {
                 let map_version = snapshot.map_version(&self.admitted.service);
                 snapshot.holder(&self.admitted.service, key).filter(|target| {
-                    !target.is_unreachable() && !target.has_denied(key, map_version)
+                    !target.is_unreachable()
+                        && !target.has_denied(key, map_version)
+                        && target.admits(target.in_flight())
                 })
             }
             _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -47,7 +47,8 @@
     let mut candidates: Vec<&Arc<Target>> = ready
         .iter()
         .filter(is_untried)
-        .filter(|target| !target.is_deprioritized() && !limits.is_avoided(&target.instance, now))
+        .filter(|target| !target.is_deprioritized() && target.admits(target.in_flight()))
+        .filter(|target| !limits.is_avoided(&target.instance, now))
         .collect();
     let needs_trickle =
         |target: &&&Arc<Target>| limits.needs_trickle(&target.instance, entries, now);
@@ -56,11 +57,13 @@
     }
     drop(limits);
     if candidates.is_empty() {
-        candidates = ready.iter().filter(|target| !target.is_unreachable()).collect();
+        candidates = admitting(ready).filter(|target| !target.is_unreachable()).collect();
     }
     if candidates.is_empty() {
-        candidates = ready.iter().collect();
+        candidates = admitting(ready).collect();
     }
+    // Targets that leave by their own word are no longer among `ready` once the control thread knows.
+    candidates.retain(|target| !target.is_closed());
     let compared = COMPARED_TARGETS.min(candidates.len());
     for index in 0..compared {
         let other = rand::random_range(index..candidates.len());
@@ -71,6 +74,11 @@
     cheapest.map(|target| Arc::clone(target))
 }
 
+/// Returns the targets that have not said that they want nothing.
+fn admitting(ready: &[Arc<Target>]) -> impl Iterator<Item = &Arc<Target>> {
+    ready.iter().filter(|target| target.admits(target.in_flight()))
+}
+
 /// Returns the expected latency in seconds, weighted by zone.
 fn expected_cost(target: &Target, zone: &Zone) -> f64 {
     let factor = if target.zone == *zone { 1.0 } else { OTHER_ZONE_COST_FACTOR };
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -6,6 +6,7 @@
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     key::{Service, Version, Zone, clock::Tick},
+    route::Deferral,
     socket2::SockRef,
     std::{
         net::{IpAddr, SocketAddr},
@@ -72,6 +73,9 @@
     /// The target is leaving and takes no more requests.
     #[error("the target is leaving")]
     Leaving,
+    /// The target said that it wants nothing for a while.
+    #[error("the target wants nothing for a while")]
+    Deferred,
     /// The target does not answer, or the request could not be sent because the connection
     /// closed or the deadline passed.
     #[error("the target cannot be reached")]
@@ -135,8 +139,11 @@
     unreached_elsewhere_until: Mutex<Option<Instant>>,
     /// Whether another target answers at the address.
     ended: AtomicBool,
-    /// When the target takes no more requests, in microseconds since boot.
+    /// When the target takes no more requests by its registration, in microseconds since boot.
     closes_at_us: AtomicU64,
+    /// When the target takes no more requests by its own word, which it cannot take back.
+    leaves_at_us: AtomicU64,
+    deferral: Mutex<Deferral>,
     denied_spans: Mutex<Vec<DeniedSpan>>,
 }
 
@@ -176,6 +183,8 @@
             unreached_elsewhere_until: Mutex::default(),
             ended: AtomicBool::new(false),
             closes_at_us: AtomicU64::new(NEVER_CLOSES_US),
+            leaves_at_us: AtomicU64::new(NEVER_CLOSES_US),
+            deferral: Mutex::default(),
             denied_spans: Mutex::default(),
         }
     }
@@ -357,10 +366,42 @@
 
     /// Returns true if the target takes no more requests.
     pub(crate) fn is_closed(&self) -> bool {
-        let closes_at_us = self.closes_at_us.load(Ordering::Relaxed);
+        let closes_at_us = self
+            .closes_at_us
+            .load(Ordering::Relaxed)
+            .min(self.leaves_at_us.load(Ordering::Relaxed));
         closes_at_us != NEVER_CLOSES_US && Tick::now().as_micros() >= closes_at_us
     }
 
+    /// Records that the target said that it leaves and takes no requests from `leaves_at` on. Returns
+    /// true if that is new; a later word changes nothing.
+    pub(crate) fn record_leaving(&self, leaves_at: Tick) -> bool {
+        let (new, known) = (leaves_at.as_micros(), NEVER_CLOSES_US);
+        let order = Ordering::Relaxed;
+        self.leaves_at_us.compare_exchange(known, new, order, order).is_ok()
+    }
+
+    /// Records that the target wants nothing for `span`. Returns true if it wanted something before.
+    pub(crate) fn record_deferral(&self, span: Duration) -> bool {
+        lock(&self.deferral).begin(span, Instant::now())
+    }
+
+    /// Records that the target took a request: it wants more.
+    pub(crate) fn end_deferral(&self) {
+        lock(&self.deferral).end(Instant::now());
+    }
+
+    /// Returns for how long the target wants nothing, if it does.
+    pub(crate) fn deferred_for(&self) -> Option<Duration> {
+        lock(&self.deferral).remaining(Instant::now())
+    }
+
+    /// Returns true if the target may get a request besides `others` that are in flight: the first one
+    /// after a deferral goes alone.
+    pub(crate) fn admits(&self, others: usize) -> bool {
+        lock(&self.deferral).admits(others, Instant::now())
+    }
+
     /// Returns true if the target has ended, is closed, or could not be reached recently.
     pub(crate) fn is_unreachable(&self) -> bool {
         self.ended.load(Ordering::Relaxed)
--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -85,6 +85,8 @@
     /// The store's version of that registration.
     pub version: Version,
     leaving_since: Option<Tick>,
+    /// When it first said in an answer that it leaves, which it cannot take back.
+    said_leaving_at: Option<Tick>,
     missing: Option<Missing>,
 }
 
@@ -164,11 +166,46 @@
         let since = before.and_then(|target| target.leaving_since);
         let leaving_since =
             (registration.state == State::Leaving).then_some(since.unwrap_or(changed_at));
-        let target = RegisteredTarget { version, leaving_since, missing: None, registration };
+        let same =
+            before.filter(|target| target.registration.instance() == registration.instance());
+        let said_leaving_at = same.and_then(|target| target.said_leaving_at);
+        let target = RegisteredTarget {
+            version,
+            leaving_since,
+            said_leaving_at,
+            missing: None,
+            registration,
+        };
         self.targets.insert(target.registration.vm.clone(), target);
         is_new
     }
 
+    /// Records that an instance said in an answer that it leaves. Returns true if that is new.
+    pub fn record_said_leaving(&mut self, instance: &Instance, said_at: Tick) -> bool {
+        let target = self.targets.get_mut(&instance.vm);
+        let Some(target) = target.filter(|target| target.registration.instance() == *instance)
+        else {
+            return false;
+        };
+        let is_new = target.said_leaving_at.is_none();
+        let earliest = target.said_leaving_at.map_or(said_at, |known| known.min(said_at));
+        target.said_leaving_at = Some(earliest);
+        is_new
+    }
+
+    /// Returns the instances that said within `span` that they leave, and when.
+    pub fn said_leaving_within(
+        &self,
+        span: Duration,
+        now: Tick,
+    ) -> impl Iterator<Item = (Instance, Tick)> + '_ {
+        let said = self
+            .targets
+            .values()
+            .filter_map(|target| Some((target.registration.instance(), target.said_leaving_at?)));
+        said.filter(move |(_, said_at)| now.since(*said_at) < span)
+    }
+
     /// Removes the registrations that `is_foreign` recognizes as written by another process than a
     /// target.
     pub fn remove_if(&mut self, is_foreign: impl Fn(&Registration) -> bool) {
@@ -286,7 +323,9 @@
     pub fn availability(&self, target: &RegisteredTarget, now: Tick) -> Availability {
         let missing = target.missing.filter(|missing| now >= missing.grace_until);
         let missing = missing.map(|missing| missing.since.max(missing.grace_until));
-        target.leaving_since.or(missing).map_or(Availability::Ready, Availability::Leaving)
+        let registered = target.leaving_since.or(missing);
+        let since = [registered, target.said_leaving_at].into_iter().flatten().min();
+        since.map_or(Availability::Ready, Availability::Leaving)
     }
 
     /// Returns for how long a target has been leaving, at most.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod budget;
 pub mod choice;
+pub mod deferral;
 pub mod header;
 pub mod locate;
 pub mod outcome;
@@ -16,6 +17,7 @@
 
 pub use crate::{
     budget::Budget,
+    deferral::Deferral,
     outcome::{Outcome, Reason, Refusal},
     quarantine::Quarantine,
     reach::Reach,
--- a/crates/standin/src/holder.rs
+++ b/crates/standin/src/holder.rs
@@ -76,6 +76,11 @@
     pub late_grants_ms: u64,
     /// The duration added to the work of each request, in milliseconds.
     pub slow_ms: u64,
+    /// Whether each response says that the target is leaving, whatever its registration says.
+    pub says_leaving: bool,
+    /// The time, in seconds, after which each refusal of a shed request tells the caller to come back;
+    /// zero tells none.
+    pub retry_after_s: u32,
     /// The rate limit that each response to a request names, in requests per second over all
     /// entries; zero names none. The target only names the limit and runs what arrives.
     pub limit_per_s: u32,
@@ -295,16 +300,26 @@
             .any(|held| held.first <= key && key <= held.last && held.expires_at > now)
     }
 
-    /// Runs or refuses a request of a caller, and names the rate limit in the reply.
+    /// Runs or refuses a request of a caller, and says in the reply what the target wants.
     async fn handle_caller_request(&self, request: Request<Incoming>) -> Reply {
-        let limit_per_s = self.state().fault.limit_per_s;
-        if limit_per_s == 0 {
+        let Fault { limit_per_s, says_leaving, retry_after_s, .. } = self.state().fault;
+        if limit_per_s == 0 && !says_leaving && retry_after_s == 0 {
             return self.run_request(request).await;
         }
         let id = header(request.headers(), "attempt-id").map(str::to_owned);
         self.journal.write(Tick::now(), Kind::Arrived { id });
         let mut reply = self.run_request(request).await;
-        reply.headers_mut().insert("server-limit", limit_per_s.into());
+        let is_shed = reply.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let headers = reply.headers_mut();
+        if limit_per_s > 0 {
+            headers.insert("server-limit", limit_per_s.into());
+        }
+        if says_leaving {
+            headers.insert("server-leaving", 1.into());
+        }
+        if retry_after_s > 0 && is_shed {
+            headers.insert("retry-after", retry_after_s.into());
+        }
         reply
     }
 
--- a/crates/standin/src/journal.rs
+++ b/crates/standin/src/journal.rs
@@ -60,7 +60,7 @@
         /// The last key.
         last: u16,
     },
-    /// A request arrived at a target that names a rate limit.
+    /// A request arrived at a target that says in its responses what it wants.
     Arrived {
         /// The attempt id of the request, if it has one.
         id: Option<String>,
--- /dev/null
+++ b/crates/trial/tests/notices.rs
@@ -0,0 +1,124 @@
+//! What targets say of themselves in their answers: that they leave, and when to come back.
+
+use {
+    key::Vm,
+    standin::{
+        holder,
+        journal::{Kind, Line},
+        rows,
+    },
+    std::time::Duration,
+    tokio::time,
+    trial::{Site, SitePlan, SiteRequest, eventually},
+};
+
+const ENTRY_COUNT: usize = 3;
+
+/// The first target that serves orders; it has the index after the keyed ones.
+const ORDER_TARGET: usize = 4;
+
+/// A target that serves keys.
+const KEYED_TARGET: usize = 0;
+
+/// The time for which a leaving target may get requests, as the site's settings have it.
+const LEAVING: Duration = Duration::from_secs(2);
+
+/// The time for which a target that sheds wants nothing, in seconds.
+const RETRY_AFTER_S: u32 = 3;
+
+fn arrivals<'a>(lines: &'a [Line], target: usize) -> impl Iterator<Item = &'a Line> + use<'a> {
+    let vm = Vm::from(format!("t{target}").as_str());
+    lines.iter().filter(move |line| line.vm == vm && matches!(line.kind, Kind::Arrived { .. }))
+}
+
+/// Sends orders and lookups through all entries.
+async fn send_everywhere(site: &Site, rounds: usize) {
+    for round in 0..rounds {
+        for entry in 0..ENTRY_COUNT {
+            site.send(entry, &SiteRequest::order()).await;
+            site.send(entry, &SiteRequest::lookup((round * 4_099 % 65_536) as u16)).await;
+        }
+    }
+}
+
+/// A target that said that it leaves got requests for as long as its registration was not read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_says_that_it_leaves_gets_nothing_more_without_the_store() {
+    let site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+    site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
+    let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
+    site.set_target_fault(ORDER_TARGET, fault).await;
+    eventually("an entry has an answer of the target that leaves", || async {
+        send_everywhere(&site, 1).await;
+        (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
+    })
+    .await;
+    // The other entries hear it from the leader, unless the target has answered them, too.
+    send_everywhere(&site, 8).await;
+    time::sleep(LEAVING).await;
+    let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    send_everywhere(&site, 20).await;
+    let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    assert_eq!(after, before, "requests reached the target after it had left");
+    site.wait_until_served(0, &SiteRequest::order()).await;
+}
+
+/// Keys of a target that said only in its answers that it leaves were not handed over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_leave_a_target_that_says_in_its_answers_that_it_leaves() {
+    let plan = SitePlan { entries: ENTRY_COUNT, grant_duration_ms: 7_500, ..SitePlan::default() };
+    let site = Site::start(plan).await;
+    let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
+    site.set_target_fault(KEYED_TARGET, fault).await;
+    send_everywhere(&site, 16).await;
+    time::sleep(LEAVING).await;
+    let before = arrivals(&site.journal_lines(), KEYED_TARGET).count();
+    for key in (0..=u16::MAX).step_by(4_099) {
+        let response = site.send(1, &SiteRequest::lookup(key)).await;
+        assert!(response.is_served(), "{response:?}");
+    }
+    let after = arrivals(&site.journal_lines(), KEYED_TARGET).count();
+    assert_eq!(after, before, "requests reached the target after it had left");
+}
+
+/// A target that turned a request away and named the time to come back got the next one at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_names_a_time_to_come_back_gets_nothing_before_it() {
+    struct Case {
+        name: &'static str,
+        target: usize,
+        request: fn(u16) -> SiteRequest,
+    }
+    let cases = [
+        Case { name: "keyed", target: KEYED_TARGET, request: SiteRequest::lookup },
+        Case { name: "unkeyed", target: ORDER_TARGET, request: |_| SiteRequest::order() },
+    ];
+    for case in cases {
+        let site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+        let fault =
+            holder::Fault { shed: true, retry_after_s: RETRY_AFTER_S, ..holder::Fault::default() };
+        site.set_target_fault(case.target, fault).await;
+        let started_at = time::Instant::now();
+        let mut refused_without_time = 0;
+        while started_at.elapsed() < Duration::from_secs(u64::from(RETRY_AFTER_S) - 1) {
+            for entry in 0..ENTRY_COUNT {
+                let response = site.send(entry, &(case.request)(rand::random())).await;
+                let has_time = response.headers.contains_key("retry-after");
+                refused_without_time += usize::from(response.is_not_run() && !has_time);
+            }
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let lines = site.journal_lines();
+        let arrived = arrivals(&lines, case.target).count();
+        // Each entry gets its first refusal, and may have sent others by then.
+        assert!(arrived <= 3 * ENTRY_COUNT, "{}: {arrived} requests arrived", case.name);
+        assert!(arrived >= 1, "{}: the target got no request", case.name);
+        assert_eq!(refused_without_time, 0, "{}: refusals name no time", case.name);
+        // Afterwards it is tried again.
+        site.set_target_fault(case.target, holder::Fault::default()).await;
+        time::sleep(Duration::from_secs(u64::from(RETRY_AFTER_S))).await;
+        for key in (0..=u16::MAX).step_by(8_191) {
+            site.wait_until_served(0, &(case.request)(key)).await;
+        }
+    }
+}
