Take the condition of a target and the writing of log lines out of shared modules

Cleaning, no change of behaviour. Shared state knew the data path and permits, which know shared state; they log for themselves now. What an entry knows of a target's use is a module of its own.

--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -4,8 +4,8 @@
     super::State,
     crate::{
         control::records::Member,
-        snapshot::{Holders, Snapshot},
-        traffic::{relay::Relay, target::Target},
+        snapshot::{Holders, Relay, Snapshot},
+        traffic::target::Target,
     },
     hold::{
         Registration,
@@ -59,7 +59,7 @@
                 let target = self.pool.get_or_insert_with(&registration.instance(), || {
                     Target::new(&registration, source)
                 });
-                target.set_closing_time(self.closes_at(&registration, now));
+                target.condition.set_closing_time(self.closes_at(&registration, now));
                 Some(target)
             };
             let targets = registrations.into_iter().map(to_target).collect();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod process;
 mod shared;
 mod snapshot;
+mod sync;
 mod traffic;
 
 pub use crate::{error::Error, process::run};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms in the text format of Prometheus.
 
 use {
-    crate::shared::lock,
+    crate::sync::lock,
     std::{
         collections::BTreeMap,
         fmt::Write,
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -115,7 +115,7 @@
         Ok(Err(error)) => error.to_string(),
         Err(elapsed) => elapsed.to_string(),
     };
-    shared.log_permit_failure(target, coordinator, &error);
+    log_failure(shared, target, coordinator, &error);
     None
 }
 
@@ -144,3 +144,15 @@
     }
     wire::json(StatusCode::OK, &Reply::from(permit))
 }
+
+/// Logs that the coordinator of a target did not answer a request for a permit.
+fn log_failure(shared: &Shared, target: &Instance, coordinator: SocketAddr, error: &str) {
+    #[derive(Serialize)]
+    struct PermitFailureLine<'a> {
+        target: &'a str,
+        coordinator: SocketAddr,
+        error: &'a str,
+    }
+    let line = PermitFailureLine { target: target.vm.as_str(), coordinator, error };
+    shared.journal.log("permit_failed", &line);
+}
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -4,6 +4,7 @@
     crate::{
         Error,
         control::{self, Context},
+        permit,
         shared::Shared,
         traffic::{
             relay::probe_targets,
@@ -75,7 +76,7 @@
         metrics: bind("metrics_listen", settings.metrics_listen)?,
     };
     let peer_listener = bind("peer_listen", settings.peer_listen)?;
-    let shared = Shared::new(settings, journal);
+    let shared = Shared::new(settings, journal, permit::new_client());
     shared.journal.log(
         "started",
         &StartedLine {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,23 +1,19 @@
 //! The state that the traffic and the control thread share.
 
 use {
-    crate::{
-        currency::Currency, metrics::Counters, permit, snapshot::Snapshot, traffic::target::Target,
-    },
+    crate::{currency::Currency, metrics::Counters, snapshot::Snapshot, sync::lock},
     arc_swap::ArcSwap,
     conf::PlatformSettings,
     hold::Instance,
     key::{Service, clock::Tick},
     limit::{Change, Rate, Table},
-    platform::header::Notice,
     report::Journal,
     route::{Quarantine, Reach, budget::Window, quarantine::CrashReport},
     serde::Serialize,
     std::{
         collections::HashMap,
-        net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex, MutexGuard,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant},
@@ -65,7 +61,13 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: PlatformSettings, journal: Journal) -> Arc<Self> {
+    /// Returns the state of a process that has just started; `permit_client` is the client with which
+    /// it asks other entries for permits.
+    pub(crate) fn new(
+        settings: PlatformSettings,
+        journal: Journal,
+        permit_client: wire::Client,
+    ) -> Arc<Self> {
         Arc::new(Self {
             settings,
             snapshot: ArcSwap::default(),
@@ -74,7 +76,7 @@
             currency: Currency::default(),
             journal,
             counters: Counters::default(),
-            permit_client: permit::new_client(),
+            permit_client,
             feedback: Mutex::default(),
             quarantine: Mutex::default(),
             budgets: Mutex::default(),
@@ -132,35 +134,6 @@
         self.settings.leaving.as_duration().saturating_sub(LEAVING_MARGIN)
     }
 
-    /// Records what a target says of itself in an answer.
-    pub(crate) fn record_notice(&self, target: &Target, notice: Notice) {
-        #[derive(Serialize)]
-        struct NoticeLine<'a> {
-            target: &'a str,
-            says: &'a str,
-            for_ms: u64,
-        }
-        let log = |says: &str, span: Duration| {
-            self.counters.count("notices", says);
-            let target = target.instance.vm.as_str();
-            let for_ms = span.as_millis() as u64;
-            self.journal.log("notice", &NoticeLine { target, says, for_ms });
-        };
-        let now = Tick::now();
-        if notice.leaving && target.record_leaving(now.plus(self.leaving_span())) {
-            self.feedback().leaving_instances.push((target.instance.clone(), now));
-            log("leaving", self.leaving_span());
-        }
-        if let Some(span) = notice.retry_after
-            && target.record_deferral(span)
-        {
-            log("come back later", span);
-        }
-        if notice.is_odd {
-            log("ignored", Duration::ZERO);
-        }
-    }
-
     /// Returns true if this entry reaches no target, or hardly any.
     pub(crate) fn is_stranded(&self) -> bool {
         lock(&self.reach).is_stranded()
@@ -189,34 +162,6 @@
         }
     }
 
-    /// Logs that the body of a response did not end before the deadline of its request.
-    pub(crate) fn log_late_body(&self, target: &Instance, id: &str) {
-        #[derive(Serialize)]
-        struct LateBodyLine<'a> {
-            id: &'a str,
-            target: &'a str,
-        }
-        self.counters.count("bodies", "late");
-        self.journal.log("late_body", &LateBodyLine { id, target: target.vm.as_str() });
-    }
-
-    /// Logs that the coordinator of a target did not answer a request for a permit.
-    pub(crate) fn log_permit_failure(
-        &self,
-        target: &Instance,
-        coordinator: SocketAddr,
-        error: &str,
-    ) {
-        #[derive(Serialize)]
-        struct PermitFailureLine<'a> {
-            target: &'a str,
-            coordinator: SocketAddr,
-            error: &'a str,
-        }
-        let line = PermitFailureLine { target: target.vm.as_str(), coordinator, error };
-        self.journal.log("permit_failed", &line);
-    }
-
     /// Logs a change of a target's rate limit and where it was learned.
     pub(crate) fn log_limit(&self, target: &Instance, change: Change, source: &str) {
         #[derive(Serialize)]
@@ -232,8 +177,3 @@
         self.counters.count("limit_changes", source);
     }
 }
-
-/// Locks a mutex whose data stays valid even if a thread panicked while it held the lock.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! The immutable routing state that traffic reads, replaced as a whole.
 
 use {
-    crate::traffic::{relay::Relay, target::Target},
+    crate::traffic::target::Target,
     conf::routing::Routing,
     hold::{Instance, Map},
     key::{Service, Version},
@@ -17,6 +17,15 @@
     pub(crate) targets: Vec<Option<Arc<Target>>>,
 }
 
+/// Another entry that passes requests on.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    /// The entry, as the target of a connection.
+    pub(crate) entry: Arc<Target>,
+    /// The share of a core that it may use.
+    pub(crate) power: f64,
+}
+
 /// Everything that traffic needs to route a request.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -5,16 +5,18 @@
         shared::Shared,
         traffic::{
             body::{Body, Stream},
-            relay,
+            notice, relay,
             target::{ConnectError, Connection, Reuse, Target},
         },
     },
     bytes::{Bytes, BytesMut},
+    hold::Instance,
     http::{HeaderMap, Request, Response, StatusCode, Version, header as standard, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
     key::clock::Tick,
     platform::header::{self, Denial},
+    serde::Serialize,
     std::{
         sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
@@ -118,12 +120,12 @@
         }
     };
     // Opening a connection takes time, so both limits are checked again.
-    if target.is_closed() {
+    if target.condition.is_closed() {
         connection.release();
         return AttemptResult::Unsent(ConnectError::Leaving);
     }
     // This request is one of those in flight.
-    if !target.admits(target.in_flight().saturating_sub(1)) {
+    if !target.condition.admits(target.in_flight().saturating_sub(1)) {
         connection.release();
         return AttemptResult::Unsent(ConnectError::Deferred);
     }
@@ -172,11 +174,11 @@
     }
     let denial = header::denial(&response, target.instance.vm.as_str());
     if denial != Some(Denial::WrongTarget) && way == Way::Direct {
-        let notice = header::notice(&response);
+        let said = header::notice(&response);
         if denial.is_none() {
-            target.end_deferral();
+            target.condition.end_deferral();
         }
-        shared.record_notice(&target, notice);
+        notice::record(shared, &target, said);
         record_limit(shared, &target, response.headers(), sent_at);
     }
     if let Some(denial) = denial {
@@ -195,7 +197,7 @@
     let stream = |prefix, incoming, connection: Connection| {
         let (shared, instance) = (Arc::clone(shared), connection.target.instance.clone());
         let id = header::request_id(&call.parts.headers).unwrap_or_default().to_owned();
-        let on_late = move || shared.log_late_body(&instance, &id);
+        let on_late = move || log_late_body(&shared, &instance, &id);
         Body::Streamed(Box::new(Stream::new(prefix, incoming, connection, call.deadline, on_late)))
     };
     let max_bytes = match incoming.size_hint().exact() {
@@ -236,6 +238,17 @@
     }
 }
 
+/// Logs that the body of a response did not end before the deadline of its request.
+fn log_late_body(shared: &Shared, target: &Instance, id: &str) {
+    #[derive(Serialize)]
+    struct LateBodyLine<'a> {
+        id: &'a str,
+        target: &'a str,
+    }
+    shared.counters.count("bodies", "late");
+    shared.journal.log("late_body", &LateBodyLine { id, target: target.vm.as_str() });
+}
+
 /// Reads a body up to its end, or until it is longer than `max_bytes`.
 async fn read_body(mut incoming: Incoming, max_bytes: usize) -> Result<ReadBody, hyper::Error> {
     let expected_bytes = incoming.size_hint().lower().min(max_bytes as u64);
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -146,7 +146,7 @@
                 }
                 AttemptResult::Unsent(error) => {
                     self.record_failure(&target, "unreachable");
-                    if !self.can_relay() || !target.may_be_reached_elsewhere() {
+                    if !self.can_relay() || !target.condition.may_be_reached_elsewhere() {
                         self.check_unsent(error)?;
                     }
                 }
@@ -163,7 +163,7 @@
                 }
                 AttemptResult::Denied(Denial::Shed) => {
                     self.record_failure(&target, "shed");
-                    target.record_shed();
+                    target.condition.record_shed();
                     if self.admitted.keyed || !self.has_attempts() {
                         return Err(self.refusal(Reason::Overloaded));
                     }
@@ -214,7 +214,7 @@
         if !self.shared.is_stranded() {
             let key = self.admitted.key.filter(|_| self.admitted.keyed)?;
             let holder = snapshot.holder(&self.admitted.service, key)?;
-            if !holder.may_be_reached_elsewhere() {
+            if !holder.condition.may_be_reached_elsewhere() {
                 return None;
             }
             self.unreached = Some(holder);
@@ -238,8 +238,8 @@
                     .counters
                     .count("relayed", if reached { "answered" } else { "unreached" });
                 match &unreached {
-                    Some(holder) => holder.record_relayed(reached),
-                    None if !reached => entry.avoid_for(STRANDED_RELAY_BACKOFF),
+                    Some(holder) => holder.condition.record_relayed(reached),
+                    None if !reached => entry.condition.avoid_for(STRANDED_RELAY_BACKOFF),
                     None => {}
                 }
                 // The last entry's refusal stands if there is no other one.
@@ -356,11 +356,12 @@
     fn deferred_for(&self) -> Option<Duration> {
         let snapshot = self.shared.snapshot.load();
         if let Some(key) = self.admitted.key.filter(|_| self.admitted.keyed) {
-            return snapshot.holder(&self.admitted.service, key)?.deferred_for();
+            return snapshot.holder(&self.admitted.service, key)?.condition.deferred_for();
         }
         let usable = snapshot.ready.get(&self.admitted.service)?;
-        let usable = usable.iter().filter(|target| !target.is_unreachable());
-        let times: Option<Vec<Duration>> = usable.map(|target| target.deferred_for()).collect();
+        let usable = usable.iter().filter(|target| !target.condition.is_unreachable());
+        let times: Option<Vec<Duration>> =
+            usable.map(|target| target.condition.deferred_for()).collect();
         times?.into_iter().min()
     }
 
@@ -415,9 +416,9 @@
             Some(key) if self.admitted.keyed => {
                 let map_version = snapshot.map_version(&self.admitted.service);
                 snapshot.holder(&self.admitted.service, key).filter(|target| {
-                    !target.is_unreachable()
-                        && !target.has_denied(key, map_version)
-                        && target.admits(target.in_flight())
+                    !target.condition.is_unreachable()
+                        && !target.condition.has_denied(key, map_version)
+                        && target.condition.admits(target.in_flight())
                 })
             }
             _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
@@ -440,7 +441,7 @@
             (snapshot.holders.get(&self.admitted.service), self.admitted.key)
             && let Some(assignment) = holders.map.assignment(key)
         {
-            target.record_denial(assignment.span, holders.map.version);
+            target.condition.record_denial(assignment.span, holders.map.version);
         }
     }
 
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -47,7 +47,9 @@
     let mut candidates: Vec<&Arc<Target>> = ready
         .iter()
         .filter(is_untried)
-        .filter(|target| !target.is_deprioritized() && target.admits(target.in_flight()))
+        .filter(|target| {
+            !target.condition.is_deprioritized() && target.condition.admits(target.in_flight())
+        })
         .filter(|target| !limits.is_avoided(&target.instance, now))
         .collect();
     let needs_trickle =
@@ -57,13 +59,13 @@
     }
     drop(limits);
     if candidates.is_empty() {
-        candidates = admitting(ready).filter(|target| !target.is_unreachable()).collect();
+        candidates = admitting(ready).filter(|target| !target.condition.is_unreachable()).collect();
     }
     if candidates.is_empty() {
         candidates = admitting(ready).collect();
     }
     // Targets that leave by their own word are no longer among `ready` once the control thread knows.
-    candidates.retain(|target| !target.is_closed());
+    candidates.retain(|target| !target.condition.is_closed());
     let compared = COMPARED_TARGETS.min(candidates.len());
     for index in 0..compared {
         let other = rand::random_range(index..candidates.len());
@@ -76,7 +78,7 @@
 
 /// Returns the targets that have not said that they want nothing.
 fn admitting(ready: &[Arc<Target>]) -> impl Iterator<Item = &Arc<Target>> {
-    ready.iter().filter(|target| target.admits(target.in_flight()))
+    ready.iter().filter(|target| target.condition.admits(target.in_flight()))
 }
 
 /// Returns the expected latency in seconds, weighted by zone.
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -13,7 +13,7 @@
 use {
     crate::{
         shared::Shared,
-        snapshot::Snapshot,
+        snapshot::{Relay, Snapshot},
         traffic::target::{Reuse, Target},
     },
     http::{HeaderMap, HeaderName, HeaderValue},
@@ -34,15 +34,6 @@
 /// The time between two attempts of a stranded entry to reach a target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Another entry that passes requests on.
-#[derive(Clone, Debug)]
-pub(crate) struct Relay {
-    /// The entry, as the target of a connection.
-    pub(crate) entry: Arc<Target>,
-    /// The share of a core that it may use.
-    pub(crate) power: f64,
-}
-
 /// Removes what a caller may have set, and says how many attempts were made.
 pub(crate) fn mark_request(headers: &mut HeaderMap, sent: u32) {
     clear_request(headers);
@@ -77,7 +68,8 @@
 /// fewer requests in flight. Entries in `tried` and those in a back-off are not drawn.
 pub(crate) fn choose(snapshot: &Snapshot, tried: &[Arc<Target>]) -> Option<Arc<Target>> {
     let is_usable = |relay: &&Relay| {
-        !relay.entry.is_unreachable() && !tried.iter().any(|tried| Arc::ptr_eq(tried, &relay.entry))
+        !relay.entry.condition.is_unreachable()
+            && !tried.iter().any(|tried| Arc::ptr_eq(tried, &relay.entry))
     };
     // The largest of `u^(1/w)` is drawn with a probability in proportion to its weight `w`.
     let draw = |relay: &Relay| rand::random::<f64>().powf(relay.power.max(f64::EPSILON).recip());
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -1,18 +1,20 @@
 //! The pool of connections to one instance of a target, and what this entry has observed of it.
 
 use {
-    crate::{shared::lock, traffic::body::Body},
-    hold::{Instance, Registration, Span},
+    crate::{
+        sync::lock,
+        traffic::{body::Body, condition::Condition},
+    },
+    hold::{Instance, Registration},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
-    key::{Service, Version, Zone, clock::Tick},
-    route::Deferral,
+    key::{Service, Zone},
     socket2::SockRef,
     std::{
         net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -40,27 +42,9 @@
 /// The largest head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// The back-off after a target could not be reached.
-const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(400);
-
-/// The time for which a target that only other entries reach is not tried from here.
-const RELAYED_BACKOFF: Duration = Duration::from_millis(1_500);
-
-/// The time for which requests to a target that no other entry reached are not passed on.
-const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
-
-/// The back-off after a target shed a request.
-const SHED_BACKOFF: Duration = Duration::from_millis(60);
-
-/// The time for which a target gets no requests for keys that it denied to hold.
-const DENIAL_BACKOFF: Duration = Duration::from_millis(100);
-
 /// The latency assumed for a target that has not answered yet, in microseconds.
 const INITIAL_LATENCY_US: u64 = 120_000;
 
-/// The closing time of a target that is not leaving, in microseconds since boot.
-const NEVER_CLOSES_US: u64 = u64::MAX;
-
 /// The divisor of the moving average: a new latency has a weight of one part in this many.
 const LATENCY_WEIGHT_DIVISOR: u64 = 8;
 
@@ -131,29 +115,8 @@
     /// microseconds.
     answer_count: AtomicU32,
     latency_sum_us: AtomicU64,
-    /// The end of the back-off after a shed request.
-    shed_backoff_until: Mutex<Option<Instant>>,
-    /// The end of the back-off after a failed connection.
-    unreachable_until: Mutex<Option<Instant>>,
-    /// The time until which no other entry is taken to reach the target.
-    unreached_elsewhere_until: Mutex<Option<Instant>>,
-    /// Whether another target answers at the address.
-    ended: AtomicBool,
-    /// When the target takes no more requests by its registration, in microseconds since boot.
-    closes_at_us: AtomicU64,
-    /// When the target takes no more requests by its own word, which it cannot take back.
-    leaves_at_us: AtomicU64,
-    deferral: Mutex<Deferral>,
-    denied_spans: Mutex<Vec<DeniedSpan>>,
-}
-
-/// Keys that the target denied to hold.
-#[derive(Debug)]
-struct DeniedSpan {
-    span: Span,
-    /// The version of the map that names it as their holder.
-    map_version: Version,
-    until: Instant,
+    /// Whether it can be used, as far as this entry knows.
+    pub(crate) condition: Condition,
 }
 
 /// A connection in use. It is released to the pool of its target only after the whole response was
@@ -178,14 +141,7 @@
             latency_us: AtomicU64::new(INITIAL_LATENCY_US),
             answer_count: AtomicU32::new(0),
             latency_sum_us: AtomicU64::new(0),
-            shed_backoff_until: Mutex::default(),
-            unreachable_until: Mutex::default(),
-            unreached_elsewhere_until: Mutex::default(),
-            ended: AtomicBool::new(false),
-            closes_at_us: AtomicU64::new(NEVER_CLOSES_US),
-            leaves_at_us: AtomicU64::new(NEVER_CLOSES_US),
-            deferral: Mutex::default(),
-            denied_spans: Mutex::default(),
+            condition: Condition::default(),
         }
     }
 
@@ -200,7 +156,7 @@
             }
         }
         let channel = self.open().await.inspect_err(|_| self.record_unreachable())?;
-        *lock(&self.unreachable_until) = None;
+        self.condition.record_reached();
         Ok(Connection { target: Arc::clone(self), channel })
     }
 
@@ -271,13 +227,7 @@
     /// Records that the target could not be reached.
     fn record_unreachable(&self) {
         self.close_idle();
-        *lock(&self.unreachable_until) = Some(Instant::now() + UNREACHABLE_BACKOFF);
-    }
-
-    /// Keeps requests away from the target for a while, such as from an entry that reaches no target
-    /// itself.
-    pub(crate) fn avoid_for(&self, span: Duration) {
-        *lock(&self.unreachable_until) = Some(Instant::now() + span);
+        self.condition.record_unreachable();
     }
 
     /// Returns the number of requests in flight.
@@ -285,53 +235,10 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns true if the last connection to the target failed a short time ago, and another entry
-    /// may reach it.
-    pub(crate) fn may_be_reached_elsewhere(&self) -> bool {
-        let now = Instant::now();
-        let is_pending = |until: &Mutex<Option<Instant>>| lock(until).is_some_and(|at| now < at);
-        is_pending(&self.unreachable_until)
-            && !is_pending(&self.unreached_elsewhere_until)
-            && !self.ended.load(Ordering::Relaxed)
-            && !self.is_closed()
-    }
-
-    /// Records whether another entry reached the target that this one did not. If so, this entry
-    /// leaves it to the others for longer.
-    pub(crate) fn record_relayed(&self, reached: bool) {
-        if reached {
-            self.avoid_for(RELAYED_BACKOFF);
-        } else {
-            *lock(&self.unreached_elsewhere_until) = Some(Instant::now() + UNREACHED_BACKOFF);
-        }
-    }
-
-    /// Records that the target shed a request.
-    pub(crate) fn record_shed(&self) {
-        *lock(&self.shed_backoff_until) = Some(Instant::now() + SHED_BACKOFF);
-    }
-
     /// Records that another target answers at the address. Returns true if that is new.
     pub(crate) fn record_end(&self) -> bool {
         self.close_idle();
-        !self.ended.swap(true, Ordering::Relaxed)
-    }
-
-    /// Records that the target denied to hold keys that a map assigns to it.
-    pub(crate) fn record_denial(&self, span: Span, map_version: Version) {
-        let now = Instant::now();
-        let mut denied_spans = lock(&self.denied_spans);
-        denied_spans.retain(|denied| now < denied.until && denied.span != span);
-        denied_spans.push(DeniedSpan { span, map_version, until: now + DENIAL_BACKOFF });
-    }
-
-    /// Returns true if the target denied to hold a key recently, and no newer map assigns the key
-    /// to it.
-    pub(crate) fn has_denied(&self, key: u16, map_version: Version) -> bool {
-        let now = Instant::now();
-        lock(&self.denied_spans).iter().any(|denied| {
-            now < denied.until && denied.map_version >= map_version && denied.span.contains(key)
-        })
+        self.condition.record_end()
     }
 
     /// Records the latency of a response.
@@ -357,63 +264,6 @@
         let in_flight = self.in_flight.load(Ordering::Relaxed) as u32;
         latency + latency * in_flight / self.slots.max(1)
     }
-
-    /// Sets when the target takes no more requests; `None` if it is not leaving.
-    pub(crate) fn set_closing_time(&self, closes_at: Option<Tick>) {
-        self.closes_at_us
-            .store(closes_at.map_or(NEVER_CLOSES_US, Tick::as_micros), Ordering::Relaxed);
-    }
-
-    /// Returns true if the target takes no more requests.
-    pub(crate) fn is_closed(&self) -> bool {
-        let closes_at_us = self
-            .closes_at_us
-            .load(Ordering::Relaxed)
-            .min(self.leaves_at_us.load(Ordering::Relaxed));
-        closes_at_us != NEVER_CLOSES_US && Tick::now().as_micros() >= closes_at_us
-    }
-
-    /// Records that the target said that it leaves and takes no requests from `leaves_at` on. Returns
-    /// true if that is new; a later word changes nothing.
-    pub(crate) fn record_leaving(&self, leaves_at: Tick) -> bool {
-        let (new, known) = (leaves_at.as_micros(), NEVER_CLOSES_US);
-        let order = Ordering::Relaxed;
-        self.leaves_at_us.compare_exchange(known, new, order, order).is_ok()
-    }
-
-    /// Records that the target wants nothing for `span`. Returns true if it wanted something before.
-    pub(crate) fn record_deferral(&self, span: Duration) -> bool {
-        lock(&self.deferral).begin(span, Instant::now())
-    }
-
-    /// Records that the target took a request: it wants more.
-    pub(crate) fn end_deferral(&self) {
-        lock(&self.deferral).end(Instant::now());
-    }
-
-    /// Returns for how long the target wants nothing, if it does.
-    pub(crate) fn deferred_for(&self) -> Option<Duration> {
-        lock(&self.deferral).remaining(Instant::now())
-    }
-
-    /// Returns true if the target may get a request besides `others` that are in flight: the first one
-    /// after a deferral goes alone.
-    pub(crate) fn admits(&self, others: usize) -> bool {
-        lock(&self.deferral).admits(others, Instant::now())
-    }
-
-    /// Returns true if the target has ended, is closed, or could not be reached recently.
-    pub(crate) fn is_unreachable(&self) -> bool {
-        self.ended.load(Ordering::Relaxed)
-            || self.is_closed()
-            || lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until)
-    }
-
-    /// Returns true if other targets should be preferred now.
-    pub(crate) fn is_deprioritized(&self) -> bool {
-        self.is_unreachable()
-            || lock(&self.shed_backoff_until).is_some_and(|until| Instant::now() < until)
-    }
 }
 
 impl Connection {
