Decide on the copy of the routing configuration in crate hold, and split long modules of edge

Messages between entries have a module of their own, as have the choice of a target and the passing on of a request; no change of behaviour there.

--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::control::{
-        peers::{Hello, Knowledge, KnowledgeQuery, MapDelta, Reply, Report},
+        message::{Hello, Knowledge, KnowledgeQuery, MapDelta, Reply, Report},
         records::LeadershipRecord,
     },
     conf::routing::Routing,
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -6,10 +6,10 @@
 
 mod feeds;
 mod input;
+mod message;
 mod orders;
 mod peers;
 mod records;
-mod routing;
 mod state;
 
 use {
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -12,21 +12,21 @@
 mod publishing;
 mod recovery;
 mod reporting;
-mod routing;
+mod routes;
 
 use {
     crate::{
         control::{
             feeds::send,
             input::Input,
-            peers::{Hello, LimitRevision, MapDelta, Peers},
+            message::{Hello, LimitRevision, MapDelta},
+            peers::Peers,
             records::{LEADERSHIP_KEY, LeadershipRecord, Member, RowKind, member_key},
-            routing::Copy as RoutingCopy,
         },
         shared::Shared,
         snapshot::TargetPool,
     },
-    hold::{Election, Map, Registration, Registry},
+    hold::{Election, Map, Registration, Registry, routing},
     key::{Era, Process, Service, Version, Vm, clock::Tick},
     leading::Leadership,
     platform::{
@@ -77,7 +77,7 @@
     store: Store,
     inputs: Sender<Input>,
     peers: Peers,
-    routing: RoutingCopy,
+    routing: routing::Copy,
     /// The version of the store up to which the operators' table has been read.
     operator_rows_version: Version,
     /// When the leader last asked the store whether the routing configuration is the newest one.
@@ -145,7 +145,7 @@
             store,
             inputs,
             peers: Peers::new(),
-            routing: RoutingCopy::default(),
+            routing: routing::Copy::default(),
             operator_rows_version: Version::ZERO,
             routing_checked_at: Tick::default(),
             registry: Registry::default(),
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -10,7 +10,7 @@
     crate::control::{
         feeds::send,
         input::Input,
-        peers::{KeyCount, KeyLoad, LatencyStats, Reply, Report},
+        message::{KeyCount, KeyLoad, LatencyStats, Reply, Report},
         records::Member,
     },
     hold::{
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -10,8 +10,8 @@
     crate::control::{
         feeds::send,
         input::Input,
+        message::Announcement,
         orders,
-        peers::Announcement,
         records::{LEADERSHIP_KEY, LeadershipRecord},
     },
     hold::{Action, Connections, Map, Planner, planner},
--- a/crates/edge/src/control/state/limiting.rs
+++ b/crates/edge/src/control/state/limiting.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{State, leading::ENTRY_TIMEOUT},
-    crate::control::peers::{LimitNotice, LimitRevision, Reply, Report},
+    crate::control::message::{LimitNotice, LimitRevision, Reply, Report},
     hold::Instance,
     key::{Vm, clock::Tick},
     limit::{Candidate, Update, Word},
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -5,7 +5,9 @@
         State,
         leading::{CONNECT_LEASE, Leadership},
     },
-    crate::control::{feeds::send, input::Input, orders, peers::MapDelta, records::LEADERSHIP_KEY},
+    crate::control::{
+        feeds::send, input::Input, message::MapDelta, orders, records::LEADERSHIP_KEY,
+    },
     hold::{
         Action, Instance, Map, Planner, Span, connections,
         planner::{Grant, Outcome, WriteOutcome},
--- a/crates/edge/src/control/state/recovery.rs
+++ b/crates/edge/src/control/state/recovery.rs
@@ -14,7 +14,7 @@
     crate::control::{
         feeds::send,
         input::Input,
-        peers::{Knowledge, KnowledgeQuery, MapVersion, NewMap},
+        message::{Knowledge, KnowledgeQuery, MapVersion, NewMap},
         records::LEADERSHIP_KEY,
     },
     hold::Map,
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -5,7 +5,7 @@
         RecentCrash, State,
         leading::{ENTRY_TIMEOUT, LastReport},
     },
-    crate::control::peers::{LeavingNotice, Reply, Report, VersionedRegistration},
+    crate::control::message::{LeavingNotice, Reply, Report, VersionedRegistration},
     hold::election::outreaches,
     key::clock::Tick,
     std::time::{Duration, Instant},
--- a/crates/edge/src/control/state/routing.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -2,8 +2,9 @@
 
 use {
     super::State,
-    crate::control::{feeds::send, input::Input, routing::Newer},
+    crate::control::{feeds::send, input::Input},
     conf::routing::Routing,
+    hold::routing::Newer,
     key::{Service, Version, Vm, clock::Tick},
     platform::{
         store::{ROUTING_KEY, Rows, Table},
@@ -78,6 +79,8 @@
     /// Fetches a newer routing configuration from another entry, if this process has been behind for
     /// long enough.
     pub(super) fn fetch_routing(&mut self, now: Tick) {
+        self.routing.expire(now);
+        self.publish_routing_state();
         let store_available = !self.is_store_unavailable(now);
         let Some((newer, attempt)) = self.routing.start_fetch(store_available, now) else { return };
         let from = self.routing_source(newer, attempt);
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -4,23 +4,20 @@
 //! deadline, the attempts of the route, the retry budget that all entries share, or the rate limits
 //! that targets name. A request that may have run is sent again only if its route allows repeats.
 
+mod choosing;
+mod relaying;
+
 use {
     crate::{
-        permit,
         shared::Shared,
-        snapshot::Snapshot,
         traffic::{
             attempt::{self, AttemptResult, Way},
             body::Body,
-            choose,
-            handle::{AdmittedRequest, Origin},
-            relay::{self, MAX_RELAYS},
+            handle::AdmittedRequest,
             target::{ConnectError, Target},
         },
     },
     http::Response,
-    key::clock::Tick,
-    limit::{Permit, Request as PermitRequest},
     platform::header::Denial,
     route::{
         Reason, Refusal,
@@ -35,10 +32,6 @@
     tokio::time,
 };
 
-/// The fraction of the route's latency objective for which a request waits for a holder of its key,
-/// or for a ready target if the service has no keys.
-const TARGET_WAIT_FRACTION: f64 = 0.4;
-
 /// The longest time before a waiting request looks for a target again; a new snapshot ends it early.
 const TARGET_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -50,20 +43,10 @@
 /// they cannot count.
 const RETRY_BUDGET_FRACTION: f64 = 0.75;
 
-/// The time for which no request is passed on to an entry that reaches no target either.
-const STRANDED_RELAY_BACKOFF: Duration = Duration::from_millis(800);
-
 /// The share of targets that are not reached, in percent, from which a refused connection proves no
 /// crash.
 const MAX_CREDIBLE_UNREACHED_PERCENT: u8 = 40;
 
-/// The longest delay by which callers of the highest priority are spread when they come back; each
-/// priority below adds as much.
-const RETURN_SPREAD: Duration = Duration::from_millis(80);
-
-/// The priority from which the spread grows no more.
-const MAX_SPREAD_RANK: u32 = 3;
-
 /// The journal line about a failed attempt.
 #[derive(Serialize)]
 struct AttemptLine<'a> {
@@ -199,80 +182,6 @@
         attempt::send(self.shared, &self.admitted.call, target, Way::Direct, is_repeated).await
     }
 
-    /// Returns true if the request may be passed on to another entry.
-    fn can_relay(&self) -> bool {
-        self.admitted.origin == Origin::Caller && self.relays.len() < MAX_RELAYS
-    }
-
-    /// Returns the entry to which the request is passed on next, if this one cannot reach a target
-    /// for it: it is stranded, or it alone may have lost its link to the holder of the key.
-    fn next_relay(&mut self) -> Option<Arc<Target>> {
-        if !self.can_relay() {
-            return None;
-        }
-        let snapshot = self.shared.snapshot.load_full();
-        if !self.shared.is_stranded() {
-            let key = self.admitted.key.filter(|_| self.admitted.keyed)?;
-            let holder = snapshot.holder(&self.admitted.service, key)?;
-            if !holder.condition.may_be_reached_elsewhere() {
-                return None;
-            }
-            self.unreached = Some(holder);
-        }
-        relay::choose(&snapshot, &self.relays)
-    }
-
-    /// Passes the request on to another entry. Returns its final response, or none if the request
-    /// can be tried again.
-    async fn relay_through(
-        &mut self,
-        entry: &Arc<Target>,
-    ) -> Result<Option<Response<Body>>, Refusal> {
-        self.relays.push(Arc::clone(entry));
-        let way = Way::Relayed { sent: self.sent };
-        let unreached = self.unreached.take();
-        match attempt::send(self.shared, &self.admitted.call, entry, way, false).await {
-            AttemptResult::Answered(mut response) => {
-                let reached = !relay::take_unreached(response.headers_mut());
-                self.shared
-                    .counters
-                    .count("relayed", if reached { "answered" } else { "unreached" });
-                match &unreached {
-                    Some(holder) => holder.condition.record_relayed(reached),
-                    None if !reached => entry.condition.avoid_for(STRANDED_RELAY_BACKOFF),
-                    None => {}
-                }
-                // The last entry's refusal stands if there is no other one.
-                let is_final = reached || !self.can_relay();
-                Ok(is_final.then_some(*response))
-            }
-            AttemptResult::Unsent(_) | AttemptResult::Denied(_) => {
-                self.record_failure(entry, "relay unreachable");
-                Ok(None)
-            }
-            AttemptResult::Lost => self.record_uncertain_relay(entry, Reason::ConnectionLost),
-            AttemptResult::Broken => self.record_uncertain_relay(entry, Reason::MismatchedAnswer),
-            AttemptResult::Late => {
-                self.record_failure(entry, "relay late");
-                self.may_have_run = true;
-                Err(self.refusal(Reason::Deadline))
-            }
-        }
-    }
-
-    /// Records that a request may have run after it was passed on. It is tried again if its route
-    /// allows repeats.
-    fn record_uncertain_relay(
-        &mut self,
-        entry: &Target,
-        reason: Reason,
-    ) -> Result<Option<Response<Body>>, Refusal> {
-        self.record_failure(entry, "relay lost");
-        self.may_have_run = true;
-        self.sent += 1;
-        if self.can_repeat() { Ok(None) } else { Err(self.refusal(reason)) }
-    }
-
     /// Tries one other target after a failure response, and returns the failure if that attempt
     /// gets no response.
     async fn final_attempt(&mut self, failure: Response<Body>) -> Result<Response<Body>, Refusal> {
@@ -321,110 +230,6 @@
         allowed
     }
 
-    /// Returns the target of the next attempt, with a permit if it names a rate limit. A request
-    /// that gets none goes to another target if the service has no keys, or else is refused.
-    async fn next_permitted_target(&mut self) -> Result<Arc<Target>, Refusal> {
-        const MAX_PERMIT_REQUESTS: usize = 3;
-        if let Some(due_in) = self.deferred_for() {
-            self.due_in = Some(due_in + self.spread());
-            return Err(self.refusal(Reason::RateLimited));
-        }
-        for _ in 0..MAX_PERMIT_REQUESTS {
-            let target = self.next_target().await?;
-            let has_choice = !self.admitted.keyed
-                && !self.shared.limits().is_avoided(&target.instance, Tick::now());
-            let request = self.permit_request(has_choice);
-            match permit::acquire(self.shared, &target.instance, request).await {
-                Permit::After(wait) => {
-                    time::sleep(wait).await;
-                    return Ok(target);
-                }
-                Permit::Refused(due_in) => {
-                    self.record_failure(&target, "rate limited");
-                    self.due_in = Some(self.due_in.map_or(due_in, |other| other.min(due_in)));
-                    if !has_choice {
-                        break;
-                    }
-                    self.shared.limits().avoid(&target.instance, due_in, Tick::now());
-                }
-            }
-        }
-        Err(self.refusal(Reason::RateLimited))
-    }
-
-    /// Returns for how long no target wants the request, if that is known.
-    fn deferred_for(&self) -> Option<Duration> {
-        let snapshot = self.shared.snapshot.load();
-        if let Some(key) = self.admitted.key.filter(|_| self.admitted.keyed) {
-            return snapshot.holder(&self.admitted.service, key)?.condition.deferred_for();
-        }
-        let usable = snapshot.ready.get(&self.admitted.service)?;
-        let usable = usable.iter().filter(|target| !target.condition.is_unreachable());
-        let times: Option<Vec<Duration>> =
-            usable.map(|target| target.condition.deferred_for()).collect();
-        times?.into_iter().min()
-    }
-
-    /// Returns a random delay for the return of a refused caller, longer with a lower priority, so that
-    /// callers do not come back all at once.
-    fn spread(&self) -> Duration {
-        let rank = f64::from(self.admitted.route.priority.min(MAX_SPREAD_RANK) + 1);
-        RETURN_SPREAD.mul_f64(rank * rand::random::<f64>())
-    }
-
-    /// Returns how long the request can wait for a permit, and its priority. A request that has a
-    /// choice of targets does not wait.
-    fn permit_request(&self, has_choice: bool) -> PermitRequest {
-        let snapshot = self.shared.snapshot.load();
-        let routes = snapshot.routing.iter().flat_map(|routing| &routing.routes);
-        let competing = routes
-            .filter(|route| route.parts.iter().any(|part| part.service == self.admitted.service));
-        let highest = competing.map(|route| route.priority).min();
-        let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
-        let wait = wait.saturating_sub(self.admitted.arrived_at.elapsed());
-        PermitRequest {
-            max_wait: if has_choice { Duration::ZERO } else { wait },
-            is_urgent: highest.is_none_or(|highest| self.admitted.route.priority <= highest),
-        }
-    }
-
-    /// Returns the target of the next attempt. Waits up to a fraction of the latency objective for
-    /// one that can be used.
-    async fn next_target(&self) -> Result<Arc<Target>, Refusal> {
-        let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
-        let wait_until = self.admitted.arrived_at + wait;
-        loop {
-            let mut changed = self.shared.snapshot_changed.subscribe();
-            let snapshot = self.shared.snapshot.load_full();
-            if let Some(target) = self.choose_target(&snapshot) {
-                return Ok(target);
-            }
-            let remaining = wait_until.saturating_duration_since(Instant::now());
-            if time::timeout(remaining.min(TARGET_RETRY_INTERVAL), changed.changed()).await.is_err()
-                && remaining <= TARGET_RETRY_INTERVAL
-            {
-                let reason =
-                    if self.admitted.keyed { Reason::NoOwner } else { Reason::Unreachable };
-                return Err(self.refusal(reason));
-            }
-        }
-    }
-
-    /// Returns the holder of the key, or a target of a service without keys.
-    fn choose_target(&self, snapshot: &Snapshot) -> Option<Arc<Target>> {
-        match self.admitted.key {
-            Some(key) if self.admitted.keyed => {
-                let map_version = snapshot.map_version(&self.admitted.service);
-                snapshot.holder(&self.admitted.service, key).filter(|target| {
-                    !target.condition.is_unreachable()
-                        && !target.condition.has_denied(key, map_version)
-                        && target.condition.admits(target.in_flight())
-                })
-            }
-            _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
-        }
-    }
-
     /// Records that a target denied the request: another target runs at its address, or it does not
     /// hold the key.
     fn record_misdirection(&self, target: &Target, denial: Denial) {
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod map;
 pub mod planner;
 pub mod registry;
+pub mod routing;
 pub mod staleness;
 
 pub use crate::{
--- a/crates/edge/src/control/routing.rs
+++ b/crates/hold/src/routing.rs
@@ -21,19 +21,26 @@
 /// The time between two attempts to fetch.
 const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
+/// The time without a message that names it after which a newer version is forgotten: the entries that
+/// had it may have ended.
+const NEWER_RETENTION: Duration = Duration::from_secs(5);
+
 /// A newer version that another entry has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Newer {
-    pub(crate) version: Version,
+pub struct Newer {
+    /// The version.
+    pub version: Version,
     /// The address of an entry that has it.
-    pub(crate) holder: SocketAddr,
+    pub holder: SocketAddr,
     /// When this process first heard that it is behind.
-    pub(crate) since: Tick,
+    pub since: Tick,
+    /// When it last heard so.
+    heard_at: Tick,
 }
 
 /// The copy of the routing configuration.
 #[derive(Debug, Default)]
-pub(crate) struct Copy {
+pub struct Copy {
     routing: Option<Arc<Routing>>,
     /// The latest moment at which no newer version existed.
     confirmed_at: Option<Tick>,
@@ -47,17 +54,19 @@
 
 impl Copy {
     /// Returns the configuration, if there is one.
-    pub(crate) const fn routing(&self) -> Option<&Arc<Routing>> {
+    #[must_use]
+    pub const fn routing(&self) -> Option<&Arc<Routing>> {
         self.routing.as_ref()
     }
 
     /// Returns the version, which is zero without a configuration.
-    pub(crate) fn version(&self) -> Version {
+    #[must_use]
+    pub fn version(&self) -> Version {
         self.routing.as_ref().map_or(Version::ZERO, |routing| routing.version)
     }
 
     /// Replaces the configuration if `routing` is newer, and returns whether it is.
-    pub(crate) fn replace(&mut self, routing: Routing) -> bool {
+    pub fn replace(&mut self, routing: Routing) -> bool {
         if routing.version <= self.version() {
             return false;
         }
@@ -69,42 +78,47 @@
     }
 
     /// Records that `version` was the newest one at the time `at`.
-    pub(crate) fn confirm(&mut self, version: Version, at: Tick) {
+    pub fn confirm(&mut self, version: Version, at: Tick) {
         if self.routing.is_some() && version <= self.version() {
             self.confirmed_at = self.confirmed_at.max(Some(at));
         }
     }
 
     /// Records that the entry at `holder` has `version`.
-    pub(crate) fn hear(&mut self, version: Version, holder: SocketAddr, now: Tick) {
+    pub fn hear(&mut self, version: Version, holder: SocketAddr, now: Tick) {
         if version <= self.version() {
             return;
         }
-        let known = self.newer.filter(|newer| newer.version >= version);
         let since = self.newer.map_or(now, |newer| newer.since);
-        self.newer = Some(known.unwrap_or(Newer { version, holder, since }));
+        let new = Newer { version, holder, since, heard_at: now };
+        let known = self.newer.filter(|known| known.version > version);
+        self.newer = Some(known.map_or(new, |known| Newer { heard_at: now, ..known }));
+    }
+
+    /// Forgets a newer version that no message has named for a while.
+    pub fn expire(&mut self, now: Tick) {
+        self.newer = self.newer.filter(|newer| now.since(newer.heard_at) < NEWER_RETENTION);
     }
 
     /// Returns the newer version that is known, if this copy is behind.
-    pub(crate) const fn newer(&self) -> Option<Newer> {
+    #[must_use]
+    pub const fn newer(&self) -> Option<Newer> {
         self.newer
     }
 
     /// Returns the latest moment at which no newer version existed, unless one is known.
-    pub(crate) fn in_force_at(&self) -> Option<Tick> {
+    #[must_use]
+    pub fn in_force_at(&self) -> Option<Tick> {
         self.confirmed_at.filter(|_| self.newer.is_none())
     }
 
     /// Starts a fetch if one is due, and returns the newer version and the number of fetches before
-    /// this one. While the store is unavailable, no long poll can bring the version, so none is
-    /// waited for.
-    pub(crate) fn start_fetch(
-        &mut self,
-        store_available: bool,
-        now: Tick,
-    ) -> Option<(Newer, usize)> {
+    /// this one. Without a configuration, or while the store is unavailable and no long poll can bring
+    /// the version, none is waited for.
+    pub fn start_fetch(&mut self, store_available: bool, now: Tick) -> Option<(Newer, usize)> {
         let newer = self.newer?;
-        let delay = if store_available { FETCH_DELAY } else { Duration::ZERO };
+        let may_wait = store_available && self.routing.is_some();
+        let delay = if may_wait { FETCH_DELAY } else { Duration::ZERO };
         if self.fetching || now < self.fetch_not_before || now.since(newer.since) < delay {
             return None;
         }
@@ -114,7 +128,7 @@
     }
 
     /// Records that the fetch has ended.
-    pub(crate) fn end_fetch(&mut self, now: Tick) {
+    pub fn end_fetch(&mut self, now: Tick) {
         self.fetching = false;
         self.fetch_not_before = now.plus(FETCH_RETRY_INTERVAL);
     }
