--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -77,7 +77,7 @@
     store: Store,
     inputs: Sender<Input>,
     peers: Peers,
-    routing: routing::Copy,
+    routing: routing::Replica,
     /// The version of the store up to which the operators' table has been read.
     operator_rows_version: Version,
     /// When the leader last asked the store whether the routing configuration is the newest one.
@@ -145,7 +145,7 @@
             store,
             inputs,
             peers: Peers::new(),
-            routing: routing::Copy::default(),
+            routing: routing::Replica::default(),
             operator_rows_version: Version::ZERO,
             routing_checked_at: Tick::default(),
             registry: Registry::default(),
--- a/crates/edge/src/control/state/routes.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -73,7 +73,7 @@
     /// process is known to be behind.
     fn publish_routing_state(&self) {
         let behind_since = self.routing.newer().map(|newer| newer.since);
-        self.shared.currency.set(self.routing.in_force_at(), behind_since);
+        self.shared.freshness.set(self.routing.in_force_at(), behind_since);
     }
 
     /// Fetches a newer routing configuration from another entry, if this process has been behind for
--- a/crates/edge/src/currency.rs
+++ b/crates/edge/src/freshness.rs
@@ -11,7 +11,7 @@
 /// What the control thread knows of the age of the routing configuration. Times are microseconds of
 /// [`Tick`]; zero stands for none.
 #[derive(Debug, Default)]
-pub(crate) struct Currency {
+pub(crate) struct Freshness {
     /// The latest moment at which no newer version existed; zero while a newer one is known.
     confirmed_at: AtomicU64,
     /// Since when a newer version is known.
@@ -20,7 +20,7 @@
     first_confirmed_at: AtomicU64,
 }
 
-impl Currency {
+impl Freshness {
     /// Records the latest moment at which the configuration was in force, and since when a newer one
     /// is known.
     pub(crate) fn set(&self, in_force_at: Option<Tick>, behind_since: Option<Tick>) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,8 +10,8 @@
 */
 
 mod control;
-mod currency;
 mod error;
+mod freshness;
 mod metrics;
 mod permit;
 mod process;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,7 +1,7 @@
 //! The state that the traffic and the control thread share.
 
 use {
-    crate::{currency::Currency, metrics::Counters, snapshot::Snapshot, sync::lock},
+    crate::{freshness::Freshness, metrics::Counters, snapshot::Snapshot, sync::lock},
     arc_swap::ArcSwap,
     conf::PlatformSettings,
     hold::Instance,
@@ -48,7 +48,7 @@
     pub(crate) snapshot_changed: watch::Sender<u64>,
     pub(crate) stopping: AtomicBool,
     /// Whether the routing configuration is known to be in force.
-    pub(crate) currency: Currency,
+    pub(crate) freshness: Freshness,
     pub(crate) journal: Journal,
     pub(crate) counters: Counters,
     /// The client with which the traffic thread asks other entries for permits.
@@ -73,7 +73,7 @@
             snapshot: ArcSwap::default(),
             snapshot_changed: watch::Sender::new(0),
             stopping: AtomicBool::new(false),
-            currency: Currency::default(),
+            freshness: Freshness::default(),
             journal,
             counters: Counters::default(),
             permit_client,
@@ -98,7 +98,7 @@
     /// Returns true if the lack of a route proves that the operators have configured none.
     pub(crate) fn is_routing_in_force(&self) -> bool {
         let limit = self.settings.routing_apply.as_duration();
-        self.currency.is_in_force(limit, Tick::now())
+        self.freshness.is_in_force(limit, Tick::now())
     }
 
     /// Returns true if this entry takes new callers.
@@ -106,7 +106,7 @@
         let limit = self.settings.routing_apply.as_duration();
         self.snapshot.load().is_ready()
             && !self.is_stopping()
-            && self.currency.allows_callers(limit, Tick::now())
+            && self.freshness.allows_callers(limit, Tick::now())
     }
 
     /// Returns the feedback that traffic has recorded.
--- a/crates/hold/src/routing.rs
+++ b/crates/hold/src/routing.rs
@@ -1,11 +1,11 @@
-//! This process's copy of the routing configuration, and what it knows of newer versions.
+//! This process's replica of the routing configuration, and what it knows of newer versions.
 //!
 //! Entries tell each other versions only. The configuration may have megabytes, and a message that
 //! carried it with each report or reply would be repeated by every entry at once, just when the
 //! receiver is too slow to answer in time. So an entry that is behind fetches the configuration
 //! itself, once at a time, from one entry that has it.
 //!
-//! A copy is in force as long as no newer version is known and the store, directly or through the
+//! A replica is in force as long as no newer version is known and the store, directly or through the
 //! leader, has confirmed a short time ago that there is none.
 
 use {
@@ -38,9 +38,9 @@
     heard_at: Tick,
 }
 
-/// The copy of the routing configuration.
+/// A process's replica of the routing configuration.
 #[derive(Debug, Default)]
-pub struct Copy {
+pub struct Replica {
     routing: Option<Arc<Routing>>,
     /// The latest moment at which no newer version existed.
     confirmed_at: Option<Tick>,
@@ -52,7 +52,7 @@
     fetches: usize,
 }
 
-impl Copy {
+impl Replica {
     /// Returns the configuration, if there is one.
     #[must_use]
     pub const fn routing(&self) -> Option<&Arc<Routing>> {
@@ -100,7 +100,7 @@
         self.newer = self.newer.filter(|newer| now.since(newer.heard_at) < NEWER_RETENTION);
     }
 
-    /// Returns the newer version that is known, if this copy is behind.
+    /// Returns the newer version that is known, if this replica is behind.
     #[must_use]
     pub const fn newer(&self) -> Option<Newer> {
         self.newer
--- a/crates/hold/tests/routing.rs
+++ b/crates/hold/tests/routing.rs
@@ -1,9 +1,9 @@
-//! When a copy of the routing configuration is in force, and when a newer one is fetched, in virtual
+//! When a replica of the routing configuration is in force, and when a newer one is fetched, in virtual
 //! time.
 
 use {
     conf::routing::{Limits, Routing},
-    hold::routing::Copy,
+    hold::routing::Replica,
     key::{Version, clock::Tick},
     std::net::SocketAddr,
 };
@@ -22,7 +22,7 @@
     Routing { version, routes: Vec::new(), services: Vec::new(), limits }
 }
 
-/// What happens to a copy at a moment, in milliseconds.
+/// What happens to a replica at a moment, in milliseconds.
 #[derive(Clone, Copy)]
 enum Event {
     /// A version arrives, from wherever.
@@ -35,28 +35,28 @@
     FetchFails,
 }
 
-fn play(events: &[(u64, Event)]) -> Copy {
-    let mut copy = Copy::default();
+fn play(events: &[(u64, Event)]) -> Replica {
+    let mut replica = Replica::default();
     for (at_ms, event) in events {
         let now = tick_at_ms(*at_ms);
         match event {
             Event::Replace(version) => {
-                copy.replace(routing(*version));
+                replica.replace(routing(*version));
             }
-            Event::Confirm(version) => copy.confirm(Version::from(*version), now),
-            Event::Hear(version) => copy.hear(Version::from(*version), holder(), now),
+            Event::Confirm(version) => replica.confirm(Version::from(*version), now),
+            Event::Hear(version) => replica.hear(Version::from(*version), holder(), now),
             Event::FetchFails => {
-                copy.start_fetch(false, now);
-                copy.end_fetch(now);
+                replica.start_fetch(false, now);
+                replica.end_fetch(now);
             }
         }
     }
-    copy
+    replica
 }
 
 /// An entry answered 404 by a version of which it could have known that it was outdated.
 #[test]
-fn a_copy_is_in_force_while_no_newer_version_is_known() {
+fn a_replica_is_in_force_while_no_newer_version_is_known() {
     struct Case {
         name: &'static str,
         events: &'static [(u64, Event)],
@@ -66,7 +66,7 @@
     let cases = [
         Case { name: "none yet", events: &[], version: 0, in_force_at_ms: None },
         Case {
-            name: "a confirmation without a copy",
+            name: "a confirmation without a replica",
             events: &[(0, Event::Confirm(0))],
             version: 0,
             in_force_at_ms: None,
@@ -115,13 +115,13 @@
         },
     ];
     for case in cases {
-        let copy = play(case.events);
-        assert_eq!(copy.version(), Version::from(case.version), "{}", case.name);
-        assert_eq!(copy.in_force_at(), case.in_force_at_ms.map(tick_at_ms), "{}", case.name);
+        let replica = play(case.events);
+        assert_eq!(replica.version(), Version::from(case.version), "{}", case.name);
+        assert_eq!(replica.in_force_at(), case.in_force_at_ms.map(tick_at_ms), "{}", case.name);
     }
 }
 
-/// Every entry sent its copy to a leader that was behind, again and again, since no answer came.
+/// Every entry sent its replica to a leader that was behind, again and again, since no answer came.
 #[test]
 fn a_newer_version_is_fetched_once_at_a_time() {
     struct Case {
@@ -173,7 +173,7 @@
             starts: true,
         },
         Case {
-            name: "there is no copy to go on with",
+            name: "there is no replica to go on with",
             events: &[(1_000, Event::Hear(9))],
             store_available: true,
             at_ms: 1_010,
@@ -195,22 +195,22 @@
         },
     ];
     for case in cases {
-        let mut copy = play(case.events);
+        let mut replica = play(case.events);
         let now = tick_at_ms(case.at_ms);
-        let started = copy.start_fetch(case.store_available, now).is_some();
+        let started = replica.start_fetch(case.store_available, now).is_some();
         assert_eq!(started, case.starts, "{}", case.name);
-        assert!(copy.start_fetch(case.store_available, now).is_none(), "{}: twice", case.name);
+        assert!(replica.start_fetch(case.store_available, now).is_none(), "{}: twice", case.name);
     }
 }
 
 /// An entry would have stayed unready for good after the only one with a newer version had ended.
 #[test]
 fn a_newer_version_that_nobody_names_any_more_is_forgotten() {
-    let mut copy =
+    let mut replica =
         play(&[(0, Event::Replace(7)), (100, Event::Confirm(7)), (1_000, Event::Hear(9))]);
-    copy.expire(tick_at_ms(5_000));
-    assert!(copy.newer().is_some());
-    copy.expire(tick_at_ms(6_500));
-    assert!(copy.newer().is_none());
-    assert_eq!(copy.in_force_at(), Some(tick_at_ms(100)));
+    replica.expire(tick_at_ms(5_000));
+    assert!(replica.newer().is_some());
+    replica.expire(tick_at_ms(6_500));
+    assert!(replica.newer().is_none());
+    assert_eq!(replica.in_force_at(), Some(tick_at_ms(100)));
 }
--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -2,6 +2,7 @@
 
 use {
     key::Vm,
+    serde_json::json,
     standin::{
         holder,
         journal::{Kind, Line},
@@ -14,6 +15,9 @@
 
 const ENTRY_COUNT: usize = 3;
 
+/// An address that is not this machine's: no connection can be opened from it.
+const FOREIGN_ADDRESS: &str = "192.0.2.1";
+
 /// The first target that serves orders; it has the index after the keyed ones.
 const ORDER_TARGET: usize = 4;
 
@@ -63,6 +67,34 @@
     site.wait_until_served(0, &SiteRequest::order()).await;
 }
 
+/// The same where requests of a stranded entry are passed on by another one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_says_that_it_leaves_gets_nothing_more_through_another_entry() {
+    let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+    let stranded = ENTRY_COUNT - 1;
+    site.kill_entry(stranded);
+    site.set_setting(stranded, "source", json!(FOREIGN_ADDRESS));
+    site.start_entry(stranded);
+    site.wait_until_served(stranded, &SiteRequest::order()).await;
+    site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
+    let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
+    site.set_target_fault(ORDER_TARGET, fault).await;
+    eventually("the target that leaves has answered", || async {
+        site.send(stranded, &SiteRequest::order()).await;
+        (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
+    })
+    .await;
+    send_everywhere(&site, 8).await;
+    time::sleep(LEAVING).await;
+    let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    for _ in 0..30 {
+        let response = site.send(stranded, &SiteRequest::order()).await;
+        assert!(response.is_served(), "{response:?}");
+    }
+    let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    assert_eq!(after, before, "requests reached the target after it had left");
+}
+
 /// Keys of a target that said only in its answers that it leaves were not handed over.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_leave_a_target_that_says_in_its_answers_that_it_leaves() {
