Tell the first map of a new leader in a few bytes

A delta now says that all fences are renewed; each entry renews its own map, which gives the same.

Evidence: hold::planner::the_first_map_of_a_new_leader_is_told_in_a_few_bytes failed before (98,724 bytes) and passes.

--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -12,7 +12,7 @@
         Action, Instance, Map, Planner, Span, connections,
         planner::{Grant, Outcome, WriteOutcome},
     },
-    key::{Fence, Service, Version, clock::Tick},
+    key::{Fence, Service, clock::Tick},
     platform::{
         order::Connection,
         store::{Commit, Table, Write},
@@ -276,8 +276,8 @@
         let map = planner.map().clone();
         self.log_plan(service, &map, &format!("{commit:?}"));
         if let Commit::Committed(_) = commit {
-            let base = self.maps.get(service).map_or(Version::ZERO, |map| map.version);
-            let delta = map.delta(base);
+            let base = self.maps.get(service).cloned().unwrap_or_else(|| Map::vacant().into());
+            let delta = map.delta(&base);
             self.apply_map(service.clone(), map);
             // New holders get their grants without waiting for the next tick.
             self.plan(now);
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -188,6 +188,10 @@
     pub base: Version,
     /// The version of the map that results.
     pub version: Version,
+    /// Whether every assignment gets a new fence before the spans below change: what a new leader
+    /// does first, and the same holders need not be listed again.
+    #[serde(default)]
+    pub renewed: bool,
     /// The spans whose holder or fence changed.
     #[serde(rename = "given")]
     pub spans: Vec<SpanHolder>,
@@ -325,16 +329,21 @@
         self.coalesce_pending();
     }
 
-    /// Returns what the latest write changed, for processes that know the map of version `base`.
+    /// Returns what the latest write changed, for processes that know the map `base`.
     #[must_use]
-    pub fn delta(&self, base: Version) -> Delta {
+    pub fn delta(&self, base: &Self) -> Delta {
+        let renewal =
+            Delta { base: base.version, version: self.version, renewed: true, spans: Vec::new() };
+        if base.with_delta(&renewal).as_ref() == Some(self) {
+            return renewal;
+        }
         let newest = Fence::from(self.version.get());
         let changed = self.assignments.iter().filter(|assignment| assignment.fence == newest);
         let spans = changed.map(|assignment| SpanHolder {
             span: assignment.span,
             holder: self.holder(assignment).cloned(),
         });
-        Delta { base, version: self.version, spans: spans.collect() }
+        Delta { spans: spans.collect(), renewed: false, ..renewal }
     }
 
     /// Returns the map with a delta applied, if the delta applies to this version of the map.
@@ -344,6 +353,9 @@
             return None;
         }
         let mut map = self.clone();
+        if delta.renewed {
+            map.renew_fences();
+        }
         for changed in &delta.spans {
             map.assign(changed.span, changed.holder.clone());
         }
--- a/crates/hold/tests/planner.rs
+++ b/crates/hold/tests/planner.rs
@@ -3,12 +3,13 @@
 use {
     hold::{
         Action, Instance, Map, Planner, Registration, Registry, Span,
+        map::Holder,
         planner::{Config, Grant, Outcome, WriteOutcome},
         registry::State,
     },
     key::{Era, Fence, Service, Version, Vm, Zone, clock::Tick},
     smol_str::SmolStr,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 const GRANT_DURATION_MS: u64 = 4_000;
@@ -369,6 +370,37 @@
     }
 }
 
+/// A new leader, which gives every key a new fence first, sent the whole map to every entry and filled
+/// its link for seconds.
+#[test]
+fn the_first_map_of_a_new_leader_is_told_in_a_few_bytes() {
+    const TARGETS: u16 = 264;
+    const SPANS: u16 = 900;
+    const MAX_DELTA_BYTES: usize = 1_000;
+    let holder = |number: u16| Holder {
+        instance: Instance {
+            vm: Vm::from(format!("i-{number:010x}").as_str()),
+            started_at_ms: 1_773_394_279_091,
+        },
+        address: SocketAddr::from(([10, 1, 64, 215], 8_006)),
+        zone: Zone::from("tt-north-a"),
+    };
+    let mut base = Map::vacant();
+    for number in 0..SPANS {
+        let first = number * (u16::MAX / SPANS);
+        base.assign(Span { first, last: u16::MAX }, Some(holder(number % TARGETS)));
+    }
+    let base = Map::parse(&base.to_bytes(Era::ZERO), Version::from(7)).expect("a complete map");
+    let mut renewed = base.clone();
+    renewed.renew_fences();
+    let renewed =
+        Map::parse(&renewed.to_bytes(Era::ZERO), Version::from(9)).expect("a complete map");
+    let delta = renewed.delta(&base);
+    let bytes = serde_json::to_vec(&delta).expect("a delta in JSON").len();
+    assert!(bytes <= MAX_DELTA_BYTES, "a delta has {bytes} bytes");
+    assert_eq!(base.with_delta(&delta), Some(renewed));
+}
+
 #[test]
 fn a_delta_turns_a_map_into_the_next_version() {
     let mut fixture = Fixture::new(3);
@@ -380,7 +412,7 @@
                 Action::Write(_) => {
                     fixture.commit_write();
                     let map = fixture.planner.map();
-                    let delta = map.delta(current.version);
+                    let delta = map.delta(&current);
                     current =
                         current.with_delta(&delta).expect("the delta applies to the previous map");
                     assert_eq!(current.version, map.version);
