Count the age of changes of the registry from their arrival

The play left no log, so this is suspected, not traced: the age of a change was handed to the control thread as a span and subtracted when that thread got to it, so a target counted as leaving later by the time that the change had waited in the queue.

Class: a span of time that is measured at one moment and applied at another. The moment itself is handed on now, also for what the leader's replies say of leaving targets, which counts from the report. No test without the bench shows it: the queue's delay cannot be provoked from outside the process.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -182,12 +182,8 @@
         };
         record_poll(true);
         let mut version = rows.version;
-        let lag = staleness.record(PollTiming {
-            sent_at,
-            received_at: Tick::now(),
-            store_clock: rows.clock,
-        });
-        send(&inputs, Input::TargetRows { rows, complete: true, lag }).await;
+        let changed_at = earliest_change(&mut staleness, &rows, sent_at);
+        send(&inputs, Input::TargetRows { rows, complete: true, changed_at }).await;
         loop {
             let sent_at = Tick::now();
             match store.watch(Table::Targets, version).await {
@@ -195,13 +191,8 @@
                     record_poll(true);
                     version = rows.version;
                     let changed = !rows.rows.is_empty();
-                    let received_at = Tick::now();
-                    let lag = staleness.record(PollTiming {
-                        sent_at,
-                        received_at,
-                        store_clock: rows.clock,
-                    });
-                    send(&inputs, Input::TargetRows { rows, complete: false, lag }).await;
+                    let changed_at = earliest_change(&mut staleness, &rows, sent_at);
+                    send(&inputs, Input::TargetRows { rows, complete: false, changed_at }).await;
                     if changed {
                         time::sleep(pause_after_change(
                             &shared,
@@ -225,6 +216,13 @@
     }
 }
 
+/// Returns the earliest moment at which a change in an answer that has just arrived can have happened.
+fn earliest_change(staleness: &mut Staleness, rows: &Rows, sent_at: Tick) -> Tick {
+    let received_at = Tick::now();
+    let age = staleness.record(PollTiming { sent_at, received_at, store_clock: rows.clock });
+    received_at.before(age)
+}
+
 /// Returns the pause after a change, which grows with the number of entries that poll the store.
 fn pause_after_change(shared: &Shared, min: Duration, max: Duration) -> Duration {
     let entries = shared.snapshot.load().entries as u32;
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -16,7 +16,7 @@
         store::{Commit, Rows},
     },
     smol_str::SmolStr,
-    std::{net::SocketAddr, time::Duration},
+    std::net::SocketAddr,
     tokio::sync::oneshot,
 };
 
@@ -30,8 +30,9 @@
     OperatorRows { rows: Rows, at: Tick },
     /// Another entry has answered with a newer routing configuration, or has none.
     RoutingFetched { routing: Option<Routing> },
-    /// Rows of the registry have changed, at most `lag` ago, or the registry was read in full.
-    TargetRows { rows: Rows, complete: bool, lag: Duration },
+    /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read in
+    /// full. The moment counts whenever the input is handled.
+    TargetRows { rows: Rows, complete: bool, changed_at: Tick },
     /// The registry could not be read.
     TargetsUnavailable,
     /// Rows of the table of entries have changed, or it was read in full.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -208,10 +208,10 @@
             Input::Tick => self.handle_tick(now),
             Input::OperatorRows { rows, at } => self.apply_operator_rows(&rows, at),
             Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
-            Input::TargetRows { rows, complete, lag } => {
+            Input::TargetRows { rows, complete, changed_at } => {
                 self.registry.record_poll(true, now);
                 self.registry.record_era(rows.version.era(), now);
-                self.apply_target_rows(rows.rows, complete, now.before(lag), now);
+                self.apply_target_rows(rows.rows, complete, changed_at, now);
             }
             Input::TargetsUnavailable => self.registry.record_poll(false, now),
             Input::EntryRows { rows, complete } => self.apply_entry_rows(&rows, complete, now),
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -251,7 +251,7 @@
                 self.confirm_routing(reply.routing_version, self.reported_at.before(age));
             }
             self.apply_limits(&reply, now);
-            self.apply_leaving_notices(&reply.leaving, now);
+            self.apply_leaving_notices(&reply.leaving, self.reported_at);
             self.resigning = reply.resigning && self.may_succeed(reply.unreached_percent);
             if self.resigning {
                 self.election.record_resignation(now);
@@ -275,9 +275,9 @@
             reply.targets.filter(|targets| self.wants_targets(now) && !targets.is_empty());
         if let Some(targets) = targets {
             let is_listed = |vm: &Vm| targets.iter().any(|target| target.registration.vm == *vm);
-            self.dirty |= self.registry.retain(is_listed, now);
+            self.dirty |= self.registry.retain(is_listed, self.reported_at);
             for target in targets {
-                let left_at = now.before(Duration::from_millis(target.leaving_for_ms));
+                let left_at = self.reported_at.before(Duration::from_millis(target.leaving_for_ms));
                 self.dirty |= self.registry.register(target.registration, target.version, left_at);
             }
         }
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -33,10 +33,10 @@
         said.map(to_notice).collect()
     }
 
-    /// Records the targets that said to other entries that they leave.
-    pub(super) fn apply_leaving_notices(&mut self, notices: &[LeavingNotice], now: Tick) {
+    /// Records the targets that said to other entries that they leave, as of the time `at`.
+    pub(super) fn apply_leaving_notices(&mut self, notices: &[LeavingNotice], at: Tick) {
         for notice in notices {
-            let said_at = now.before(Duration::from_millis(notice.age_ms));
+            let said_at = at.before(Duration::from_millis(notice.age_ms));
             self.dirty |= self.registry.record_said_leaving(&notice.target, said_at);
         }
     }
