Call a request uncertain that may have run before it was passed on

Found while reading the change: an idempotent request whose first attempt was lost was passed on, and the other entry's refusal, which says that the request has not run, went to the caller as it was. That entry does not know of the first attempt. Such a refusal becomes one that says so (502, unknown).

No test: the stand-ins' targets are behind proxies, which accept connections for a target that is gone, so the path from a lost attempt to another entry is not taken there.

--- a/crates/edge/src/traffic/attempts/relaying.rs
+++ b/crates/edge/src/traffic/attempts/relaying.rs
@@ -6,7 +6,7 @@
         attempt::{self, AttemptResult, Way},
         body::Body,
         handle::Origin,
-        relay::{self, MAX_RELAYS},
+        relay::{self, Answer, MAX_RELAYS},
         target::Target,
     },
     http::Response,
@@ -30,6 +30,7 @@
             return None;
         }
         let snapshot = self.shared.snapshot.load_full();
+        self.unreached = None;
         if !self.shared.is_stranded() {
             let key = self.admitted.key.filter(|_| self.admitted.keyed)?;
             let holder = snapshot.holder(&self.admitted.service, key)?;
@@ -52,7 +53,8 @@
         let unreached = self.unreached.take();
         match attempt::send(self.shared, &self.admitted.call, entry, way, false).await {
             AttemptResult::Answered(mut response) => {
-                let reached = !relay::take_unreached(response.headers_mut());
+                let answer = relay::take_answer(response.headers_mut());
+                let reached = answer != Answer::Unreached;
                 self.shared
                     .counters
                     .count("relayed", if reached { "answered" } else { "unreached" });
@@ -61,9 +63,14 @@
                     None if !reached => entry.condition.avoid_for(STRANDED_RELAY_BACKOFF),
                     None => {}
                 }
-                // The last entry's refusal stands if there is no other one.
-                let is_final = reached || !self.can_relay();
-                Ok(is_final.then_some(*response))
+                if !reached && self.can_relay() {
+                    return Ok(None);
+                }
+                // The other entry does not know that an earlier attempt may have run.
+                if answer != Answer::Final && self.may_have_run {
+                    return Err(self.refusal(Reason::Unreachable));
+                }
+                Ok(Some(*response))
             }
             AttemptResult::Unsent(_) | AttemptResult::Denied(_) => {
                 self.record_failure(entry, "relay unreachable");
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -58,10 +58,25 @@
     }
 }
 
-/// Removes the reason of a refusal, and returns true if the other entry reached no target either.
-pub(crate) fn take_unreached(headers: &mut HeaderMap) -> bool {
+/// What the answer of another entry is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// A target's response, or a refusal that does not say that the request has not run.
+    Final,
+    /// A refusal: the request has not run there.
+    Refused,
+    /// The same, since that entry reached no target either.
+    Unreached,
+}
+
+/// Removes the reason of a refusal, and returns what the answer is.
+pub(crate) fn take_answer(headers: &mut HeaderMap) -> Answer {
     let unreachable = Reason::Unreachable.to_string();
-    headers.remove(REFUSED).is_some_and(|reason| reason.as_bytes() == unreachable.as_bytes())
+    match headers.remove(REFUSED) {
+        None => Answer::Final,
+        Some(reason) if reason.as_bytes() == unreachable.as_bytes() => Answer::Unreached,
+        Some(_) => Answer::Refused,
+    }
 }
 
 /// Returns the entry to pass a request on to: of two drawn at random by their power, the one with
