--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -15,7 +15,7 @@
     },
     hold::{
         Map,
-        election::{Verdict, outreaches},
+        election::{Verdict, is_better_placed},
     },
     key::{Version, Vm, clock::Tick},
     platform::{
@@ -38,7 +38,7 @@
 const ENTRIES_AT_MIN_INTERVAL: f64 = 20.0;
 
 /// The time without a leader after which an entry campaigns that reaches no target.
-const STRANDED_CAMPAIGN_DELAY: Duration = Duration::from_secs(4);
+const ISOLATED_CAMPAIGN_DELAY: Duration = Duration::from_secs(4);
 
 /// The time between two reads of the maps, which an entry reads from the store while the leader is
 /// unresponsive.
@@ -87,8 +87,8 @@
             return;
         }
         // An entry that reaches targets takes the lead before one that does not.
-        if self.shared.is_stranded()
-            && self.election.unresponsive_for(now) < STRANDED_CAMPAIGN_DELAY
+        if self.shared.is_isolated()
+            && self.election.unresponsive_for(now) < ISOLATED_CAMPAIGN_DELAY
         {
             return;
         }
@@ -234,7 +234,7 @@
     /// of the targets if it resigns for that.
     fn may_succeed(&self, leader_unreached_percent: Option<u8>) -> bool {
         leader_unreached_percent
-            .is_none_or(|percent| outreaches(self.shared.unreached_percent(), percent))
+            .is_none_or(|percent| is_better_placed(self.shared.unreached_percent(), percent))
     }
 
     /// Applies the leader's reply to a report.
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -6,7 +6,7 @@
         leading::{ENTRY_TIMEOUT, LastReport},
     },
     crate::control::message::{LeavingNotice, Reply, Report, VersionedRegistration},
-    hold::election::outreaches,
+    hold::election::is_better_placed,
     key::clock::Tick,
     std::time::{Duration, Instant},
 };
@@ -48,7 +48,7 @@
         let recent = leadership.last_reports.values();
         recent
             .filter(|report| now.since(report.at) < ENTRY_TIMEOUT)
-            .any(|report| outreaches(report.unreached_percent, unreached_percent))
+            .any(|report| is_better_placed(report.unreached_percent, unreached_percent))
     }
 
     /// Records what an entry observed: crash reports, ended instances, load and latencies.
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -135,8 +135,8 @@
     }
 
     /// Returns true if this entry reaches no target, or hardly any.
-    pub(crate) fn is_stranded(&self) -> bool {
-        lock(&self.reach).is_stranded()
+    pub(crate) fn is_isolated(&self) -> bool {
+        lock(&self.reach).is_isolated()
     }
 
     /// Returns the share of targets that this entry does not reach, in percent.
@@ -144,21 +144,21 @@
         lock(&self.reach).unreached_percent(Instant::now())
     }
 
-    /// Records whether a target was reached, and logs when this entry becomes stranded or is no
+    /// Records whether a target was reached, and logs when this entry becomes isolated or is no
     /// longer.
     pub(crate) fn record_reach(&self, target: &Instance, reached: bool) {
         #[derive(Serialize)]
         struct ReachLine<'a> {
-            stranded: bool,
+            isolated: bool,
             target: &'a str,
         }
-        let stranded = {
+        let isolated = {
             let mut reach = lock(&self.reach);
-            reach.record(target, reached, Instant::now()).then(|| reach.is_stranded())
+            reach.record(target, reached, Instant::now()).then(|| reach.is_isolated())
         };
-        if let Some(stranded) = stranded {
-            self.counters.count("stranded", if stranded { "began" } else { "ended" });
-            self.journal.log("reach", &ReachLine { stranded, target: target.vm.as_str() });
+        if let Some(isolated) = isolated {
+            self.counters.count("isolated", if isolated { "began" } else { "ended" });
+            self.journal.log("reach", &ReachLine { isolated, target: target.vm.as_str() });
         }
     }
 
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -33,7 +33,7 @@
     /// The targets of each service that may get new requests.
     pub(crate) ready: HashMap<Service, Vec<Arc<Target>>>,
     pub(crate) holders: HashMap<Service, Holders>,
-    /// The other entries that pass requests on while this one is stranded.
+    /// The other entries that pass requests on while this one is isolated.
     pub(crate) relays: Vec<Relay>,
     /// The number of entries that share limits, this one included.
     pub(crate) entries: usize,
--- a/crates/edge/src/traffic/attempts/relaying.rs
+++ b/crates/edge/src/traffic/attempts/relaying.rs
@@ -15,7 +15,7 @@
 };
 
 /// The time for which no request is passed on to an entry that reaches no target either.
-const STRANDED_RELAY_BACKOFF: Duration = Duration::from_millis(800);
+const ISOLATED_RELAY_BACKOFF: Duration = Duration::from_millis(800);
 
 impl Attempts<'_> {
     /// Returns true if the request may be passed on to another entry.
@@ -24,14 +24,14 @@
     }
 
     /// Returns the entry to which the request is passed on next, if this one cannot reach a target
-    /// for it: it is stranded, or it alone may have lost its link to the holder of the key.
+    /// for it: it is isolated, or it alone may have lost its link to the holder of the key.
     pub(super) fn next_relay(&mut self) -> Option<Arc<Target>> {
         if !self.can_relay() {
             return None;
         }
         let snapshot = self.shared.snapshot.load_full();
         self.unreached = None;
-        if !self.shared.is_stranded() {
+        if !self.shared.is_isolated() {
             let key = self.admitted.key.filter(|_| self.admitted.keyed)?;
             let holder = snapshot.holder(&self.admitted.service, key)?;
             if !holder.condition.may_be_reached_elsewhere() {
@@ -60,7 +60,7 @@
                     .count("relayed", if reached { "answered" } else { "unreached" });
                 match &unreached {
                     Some(holder) => holder.condition.record_relayed(reached),
-                    None if !reached => entry.condition.avoid_for(STRANDED_RELAY_BACKOFF),
+                    None if !reached => entry.condition.avoid_for(ISOLATED_RELAY_BACKOFF),
                     None => {}
                 }
                 if !reached && self.can_relay() {
--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -165,7 +165,7 @@
     origin: Origin,
     arrived_at: Instant,
 ) -> Result<AdmittedRequest, Refusal> {
-    if origin != Origin::Caller && shared.is_stranded() {
+    if origin != Origin::Caller && shared.is_isolated() {
         return Err(Refusal::not_run(Reason::Unreachable));
     }
     let snapshot = shared.snapshot.load_full();
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -4,7 +4,7 @@
 //! reach the targets. It passes a request on to one of them, at a listener that only entries know,
 //! with the time that is left and the number of attempts made. The other entry makes the attempts by
 //! its own configuration and passes nothing on further. It answers with the target's response or with
-//! a refusal that names its reason, so that a request that met a stranded entry there, too, can go to
+//! a refusal that names its reason, so that a request that met an isolated entry there, too, can go to
 //! another one.
 //!
 //! Weighed: leaving the load balancer, which keeps open connections and uses unready entries again if
@@ -31,7 +31,7 @@
 /// The number of entries to which one request is passed on.
 pub(crate) const MAX_RELAYS: usize = 6;
 
-/// The time between two attempts of a stranded entry to reach a target.
+/// The time between two attempts of an isolated entry to reach a target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Removes what a caller may have set, and says how many attempts were made.
@@ -96,11 +96,11 @@
     best.map(|(_, relay)| Arc::clone(&relay.entry))
 }
 
-/// Tries to reach a target every now and then while this entry is stranded; never returns.
+/// Tries to reach a target every now and then while this entry is isolated; never returns.
 pub(crate) async fn probe_targets(shared: Arc<Shared>) {
     loop {
         time::sleep(PROBE_INTERVAL).await;
-        if !shared.is_stranded() {
+        if !shared.is_isolated() {
             continue;
         }
         let snapshot = shared.snapshot.load_full();
--- a/crates/hold/src/election.rs
+++ b/crates/hold/src/election.rs
@@ -38,7 +38,7 @@
 /// Returns true if an entry that does not reach a share of the targets should lead in place of one that
 /// does not reach `leader_percent` of them. Targets that neither reaches make no difference.
 #[must_use]
-pub const fn outreaches(unreached_percent: u8, leader_percent: u8) -> bool {
+pub const fn is_better_placed(unreached_percent: u8, leader_percent: u8) -> bool {
     unreached_percent.saturating_add(REACH_MARGIN_PERCENT) <= leader_percent
 }
 
--- a/crates/hold/tests/election.rs
+++ b/crates/hold/tests/election.rs
@@ -3,7 +3,7 @@
 use {
     hold::{
         Election,
-        election::{Leader, Verdict, outreaches},
+        election::{Leader, Verdict, is_better_placed},
     },
     key::clock::Tick,
     std::time::Duration,
@@ -200,9 +200,11 @@
                     continue;
                 }
                 let leader_percent = unreached_percents[self.leader];
-                let yields =
-                    unreached_percents.iter().any(|percent| outreaches(*percent, leader_percent));
-                let resigning = yields && outreaches(unreached_percents[entry], leader_percent);
+                let yields = unreached_percents
+                    .iter()
+                    .any(|percent| is_better_placed(*percent, leader_percent));
+                let resigning =
+                    yields && is_better_placed(unreached_percents[entry], leader_percent);
                 if now_ms % 250 == 0 {
                     if resigning {
                         self.elections[entry].record_resignation(now);
@@ -234,7 +236,7 @@
     let cases = [
         Case { name: "all reach all", seconds: &[[0; 5]; 3], leader: 0, takeovers: 0 },
         Case {
-            name: "the leader is stranded",
+            name: "the leader is isolated",
             seconds: &[[100, 0, 0, 0, 0]; 2],
             leader: 1,
             takeovers: 1,
@@ -263,7 +265,7 @@
             leader: 0,
             takeovers: 0,
         },
-        Case { name: "all are stranded", seconds: &[[100; 5]; 3], leader: 0, takeovers: 0 },
+        Case { name: "all are isolated", seconds: &[[100; 5]; 3], leader: 0, takeovers: 0 },
         Case {
             name: "a little more reach is no reason",
             seconds: &[[20, 0, 0, 0, 0]; 3],
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -1,7 +1,7 @@
 //! Whether this entry reaches the targets, from what its own connections show.
 //!
 //! One target that cannot be reached may be down. If connections to several targets fail and none
-//! succeeds, the fault is at this entry or its links: it is stranded. It then says nothing of targets
+//! succeeds, the fault is at this entry or its links: it is isolated. It then says nothing of targets
 //! to others, passes its requests on through another entry, and tries a target now and then until
 //! connections succeed again.
 
@@ -17,13 +17,13 @@
 /// The age up to which outcomes count for the share of targets that are not reached.
 const SHARE_WINDOW: Duration = Duration::from_secs(3);
 
-/// The number of targets that have to fail before this entry counts as stranded.
+/// The number of targets that have to fail before this entry counts as isolated.
 const MIN_FAILING_TARGETS: usize = 3;
 
 /// How many more targets have to fail than succeed.
 const FAILING_RATIO: usize = 4;
 
-/// The number of successes in a row after which this entry is no longer stranded.
+/// The number of successes in a row after which this entry is no longer isolated.
 const SUCCESSES_TO_RECOVER: u32 = 2;
 
 /// The number of targets from which a share is told.
@@ -39,46 +39,46 @@
 #[derive(Debug)]
 pub struct Reach<T> {
     outcomes: HashMap<T, Outcome>,
-    stranded: bool,
+    isolated: bool,
     successes: u32,
 }
 
 impl<T> Default for Reach<T> {
     fn default() -> Self {
-        Self { outcomes: HashMap::new(), stranded: false, successes: 0 }
+        Self { outcomes: HashMap::new(), isolated: false, successes: 0 }
     }
 }
 
 impl<T: Clone + Eq + Hash> Reach<T> {
     /// Records whether a target was reached, and returns true if this changes whether the entry is
-    /// stranded.
+    /// isolated.
     pub fn record(&mut self, target: &T, reached: bool, now: Instant) -> bool {
         self.outcomes.retain(|_, outcome| now.duration_since(outcome.at) < SHARE_WINDOW);
         self.outcomes.insert(target.clone(), Outcome { reached, at: now });
         self.successes = if reached { self.successes + 1 } else { 0 };
-        let was_stranded = self.stranded;
-        if self.stranded {
-            self.stranded = self.successes < SUCCESSES_TO_RECOVER;
-            if !self.stranded {
+        let was_isolated = self.isolated;
+        if self.isolated {
+            self.isolated = self.successes < SUCCESSES_TO_RECOVER;
+            if !self.isolated {
                 self.outcomes.retain(|_, outcome| outcome.reached);
             }
         } else {
             let (reached, failed) = self.count(WINDOW, now);
-            self.stranded = failed >= MIN_FAILING_TARGETS && failed >= FAILING_RATIO * reached;
+            self.isolated = failed >= MIN_FAILING_TARGETS && failed >= FAILING_RATIO * reached;
         }
-        self.stranded != was_stranded
+        self.isolated != was_isolated
     }
 
     /// Returns true if this entry reaches no target, or hardly any.
     #[must_use]
-    pub const fn is_stranded(&self) -> bool {
-        self.stranded
+    pub const fn is_isolated(&self) -> bool {
+        self.isolated
     }
 
     /// Returns the share of targets that are not reached, in percent; zero if too few were tried.
     #[must_use]
     pub fn unreached_percent(&self, now: Instant) -> u8 {
-        if self.stranded {
+        if self.isolated {
             return 100;
         }
         let (reached, failed) = self.count(SHARE_WINDOW, now);
--- a/crates/route/tests/reach.rs
+++ b/crates/route/tests/reach.rs
@@ -1,4 +1,4 @@
-//! When an entry counts as stranded, in virtual time.
+//! When an entry counts as isolated, in virtual time.
 
 use {
     route::Reach,
@@ -11,25 +11,25 @@
 struct Case {
     name: &'static str,
     steps: &'static [Step],
-    is_stranded: bool,
+    is_isolated: bool,
     unreached_percent: u8,
 }
 
 #[test]
-fn an_entry_is_stranded_if_several_targets_fail_and_none_is_reached() {
+fn an_entry_is_isolated_if_several_targets_fail_and_none_is_reached() {
     let cases = [
-        Case { name: "nothing tried", steps: &[], is_stranded: false, unreached_percent: 0 },
+        Case { name: "nothing tried", steps: &[], is_isolated: false, unreached_percent: 0 },
         Case {
             name: "one dead target fails often",
             steps: &[(0, 1, false), (100, 1, false), (200, 1, false), (300, 1, false)],
-            is_stranded: false,
+            is_isolated: false,
             unreached_percent: 0,
         },
         Case {
             name: "three dead targets among sound ones",
             steps: &[(0, 1, false), (0, 2, false), (0, 3, false), (10, 4, true), (20, 5, true)],
             // The first three outcomes alone look like a lost link.
-            is_stranded: false,
+            is_isolated: false,
             unreached_percent: 0,
         },
         Case {
@@ -42,19 +42,19 @@
                 (700, 2, false),
                 (800, 3, false),
             ],
-            is_stranded: true,
+            is_isolated: true,
             unreached_percent: 100,
         },
         Case {
             name: "one success is not yet a way back",
             steps: &[(0, 1, false), (0, 2, false), (0, 3, false), (100, 1, true)],
-            is_stranded: true,
+            is_isolated: true,
             unreached_percent: 100,
         },
         Case {
             name: "two successes in a row are",
             steps: &[(0, 1, false), (0, 2, false), (0, 3, false), (100, 1, true), (200, 2, true)],
-            is_stranded: false,
+            is_isolated: false,
             unreached_percent: 0,
         },
         Case {
@@ -67,7 +67,7 @@
                 (200, 2, false),
                 (300, 3, true),
             ],
-            is_stranded: true,
+            is_isolated: true,
             unreached_percent: 100,
         },
         Case {
@@ -80,13 +80,13 @@
                 (10, 5, false),
                 (10, 6, false),
             ],
-            is_stranded: false,
+            is_isolated: false,
             unreached_percent: 50,
         },
         Case {
             name: "old outcomes say nothing",
             steps: &[(0, 1, false), (0, 2, false), (5_000, 3, false), (5_000, 4, true)],
-            is_stranded: false,
+            is_isolated: false,
             unreached_percent: 0,
         },
     ];
@@ -98,7 +98,7 @@
             now = start + Duration::from_millis(*after_ms);
             reach.record(target, *reached, now);
         }
-        assert_eq!(reach.is_stranded(), case.is_stranded, "{}", case.name);
+        assert_eq!(reach.is_isolated(), case.is_isolated, "{}", case.name);
         assert_eq!(reach.unreached_percent(now), case.unreached_percent, "{}", case.name);
     }
 }
--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -67,20 +67,20 @@
     site.wait_until_served(0, &SiteRequest::order()).await;
 }
 
-/// The same where requests of a stranded entry are passed on by another one.
+/// The same where requests of an isolated entry are passed on by another one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_target_that_says_that_it_leaves_gets_nothing_more_through_another_entry() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
-    let stranded = ENTRY_COUNT - 1;
-    site.kill_entry(stranded);
-    site.set_setting(stranded, "source", json!(FOREIGN_ADDRESS));
-    site.start_entry(stranded);
-    site.wait_until_served(stranded, &SiteRequest::order()).await;
+    let isolated = ENTRY_COUNT - 1;
+    site.kill_entry(isolated);
+    site.set_setting(isolated, "source", json!(FOREIGN_ADDRESS));
+    site.start_entry(isolated);
+    site.wait_until_served(isolated, &SiteRequest::order()).await;
     site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
     let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
     site.set_target_fault(ORDER_TARGET, fault).await;
     eventually("the target that leaves has answered", || async {
-        site.send(stranded, &SiteRequest::order()).await;
+        site.send(isolated, &SiteRequest::order()).await;
         (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
     })
     .await;
@@ -88,7 +88,7 @@
     time::sleep(LEAVING).await;
     let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
     for _ in 0..30 {
-        let response = site.send(stranded, &SiteRequest::order()).await;
+        let response = site.send(isolated, &SiteRequest::order()).await;
         assert!(response.is_served(), "{response:?}");
     }
     let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
