Probe connections on which a response is awaited each second

The keep-alive of connections to the store and to other entries was set to 700 and 350 ms. The kernel counts in seconds and refused the zero that came of it, and the library goes on without: the first probe was due after two hours. A long poll on a connection that had gone silent waited for its own time, up to 21 s. The users' page on TCP_USER_TIMEOUT, which also decides when probes give up, led there.

One second now, for both; the number of probes is left out, since the time without acknowledgement (1.5 s) ends the connection first, about two seconds after the last byte.

Evidence: a_connection_on_which_a_response_is_awaited_is_probed_soon failed before (the next probe in 7,199.69 s, as the kernel lists it) and passes.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -34,11 +34,10 @@
 const MAX_IDLE_CONNECTIONS_PER_HOST: usize = 2;
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The idle time before the first TCP keep-alive probe. The probes detect a dead connection while a
-/// response is awaited.
-const KEEPALIVE_AFTER: Duration = Duration::from_millis(700);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(350);
-const MAX_KEEPALIVE_PROBES: u32 = 3;
+/// The idle time before the first TCP keep-alive probe, and the time between two. The kernel counts
+/// them in whole seconds. The probes detect a dead connection while a response is awaited; once one is
+/// unanswered, [`UNACKNOWLEDGED_DATA_TIMEOUT`] ends the connection, whatever their number.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The time for which sent data may remain unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_DATA_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -116,9 +115,8 @@
         connector.set_nodelay(true);
         connector.set_local_address(self.source);
         connector.set_connect_timeout(Some(self.timeout.min(self.connect_timeout)));
-        connector.set_keepalive(Some(KEEPALIVE_AFTER));
+        connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
-        connector.set_keepalive_retries(Some(MAX_KEEPALIVE_PROBES));
         connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
--- a/crates/wire/tests/client.rs
+++ b/crates/wire/tests/client.rs
@@ -65,3 +65,43 @@
         assert!(sent_bytes < SENT_BYTES, "{}: the client read everything", case.name);
     }
 }
+
+/// The time after which a silent server must be noticed while its response is awaited.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
+
+/// Returns when the kernel probes a connection of a local port next, or `None` if it does not. The
+/// kernel lists its timers in hundredths of a second.
+fn next_keepalive(port: u16) -> Option<Duration> {
+    const KEEPALIVE_TIMER: &str = "02";
+    let table =
+        std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table of connections");
+    let rows = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<&str>>());
+    let row = rows
+        .filter(|fields| fields.len() > 5)
+        .find(|fields| fields[1].ends_with(&format!(":{port:04X}")))?;
+    let (timer, ticks) = row[5].split_once(':')?;
+    let ticks = u64::from_str_radix(ticks, 16).ok()?;
+    (timer == KEEPALIVE_TIMER).then(|| Duration::from_millis(10 * ticks))
+}
+
+/// The keep-alive of connections was set below the kernel's unit of a second, which the kernel refused,
+/// so a long poll to a silent store went on until its own time was over.
+#[tokio::test]
+async fn a_connection_on_which_a_response_is_awaited_is_probed_soon() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let client = wire::Config::default().timeout(TIMEOUT).build();
+    let request =
+        tokio::spawn(
+            async move { client.send(Method::GET, address, "/", Bytes::new()).await.is_ok() },
+        );
+    let (mut stream, peer) = listener.accept().await.expect("a connection");
+    let mut bytes = [0; 4_096];
+    let length = stream.read(&mut bytes).await.expect("a request");
+    assert!(length > 0, "the request is empty");
+    // The request has been acknowledged by then, so only the keep-alive timer is left.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let next = next_keepalive(peer.port());
+    request.abort();
+    assert!(next.is_some_and(|next| next <= MAX_SILENCE), "the next probe comes in {next:?}");
+}
