Confirm no configuration while the store's newest one cannot be read

Found while reading the change: an answer of the store whose configuration could not be parsed confirmed the one that the entry had, so callers got 404 by it although the store had a newer one.

Evidence: a_configuration_that_cannot_be_read_does_not_confirm_the_one_before failed before (404 in place of 503) and passes; what has a route is served meanwhile.

--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -80,6 +80,8 @@
     routing: routing::Replica,
     /// The version of the store up to which the operators' table has been read.
     operator_rows_version: Version,
+    /// Whether the newest routing configuration of the store cannot be read.
+    routing_unreadable: bool,
     /// When the leader last asked the store whether the routing configuration is the newest one.
     routing_checked_at: Tick,
     registry: Registry,
@@ -147,6 +149,7 @@
             peers: Peers::new(),
             routing: routing::Replica::default(),
             operator_rows_version: Version::ZERO,
+            routing_unreadable: false,
             routing_checked_at: Tick::default(),
             registry: Registry::default(),
             registry_grew_at: None,
--- a/crates/edge/src/control/state/routes.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -29,12 +29,17 @@
         self.operator_rows_version = self.operator_rows_version.max(rows.version);
         for row in rows.rows.iter().filter(|row| row.key == ROUTING_KEY) {
             let Some(value) = &row.value else { continue };
-            match text::parse_routing(value) {
+            let parsed = text::parse_routing(value);
+            self.routing_unreadable = parsed.is_err();
+            match parsed {
                 Ok(routing) => self.apply_routing(routing, "read from the store"),
                 Err(error) => self.log_belief("routing", row.version, &error.to_string()),
             }
         }
-        self.confirm_routing(self.routing_version(), at);
+        // The store may have a newer version that this process cannot read.
+        if !self.routing_unreadable {
+            self.confirm_routing(self.routing_version(), at);
+        }
     }
 
     /// Replaces the routing configuration by a newer one, and removes registrations of services
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -20,7 +20,7 @@
 /// The number of targets that have to fail before this entry counts as isolated.
 const MIN_FAILING_TARGETS: usize = 3;
 
-/// How many more targets have to fail than succeed.
+/// How many times as many targets have to fail as succeed.
 const FAILING_RATIO: usize = 4;
 
 /// The number of successes in a row after which this entry is no longer isolated.
--- a/crates/trial/tests/large_routing.rs
+++ b/crates/trial/tests/large_routing.rs
@@ -190,3 +190,22 @@
     leader.wait_for_reports(reports + 30).await;
     assert!(!site.is_ready(1).await, "an entry that has just started and is behind says ready");
 }
+
+/// The store's answer confirmed the configuration that the entry had, although the answer's own could
+/// not be read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_that_cannot_be_read_does_not_confirm_the_one_before() {
+    let site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
+    let response = site.send(0, &request_without_route()).await;
+    assert_eq!(response.status, Some(StatusCode::NOT_FOUND));
+    site.store.write_row("op", "config", b"{}");
+    // Longer than an earlier confirmation counts.
+    time::sleep(Duration::from_millis(2_600)).await;
+    let response = site.send(0, &request_without_route()).await;
+    assert_eq!(response.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    site.wait_until_served(0, &SiteRequest::order()).await;
+    site.write_routing(7, &ROUTES);
+    site.wait_until_served(0, &later_order()).await;
+    let response = site.send(0, &request_without_route()).await;
+    assert_eq!(response.status, Some(StatusCode::NOT_FOUND));
+}
