--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -63,6 +63,13 @@
     }
 }
 
+/// The routes that every site starts with, and one for orders that the operator adds later.
+pub const ROUTES_WITH_LATER: [Route; 3] = [
+    INITIAL_ROUTES[0],
+    INITIAL_ROUTES[1],
+    Route { prefix: "/later/", kind: "unsafe", service: "orders" },
+];
+
 /// The routes that every site starts with.
 const INITIAL_ROUTES: [Route; 2] = [
     Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
--- a/crates/trial/src/site/request.rs
+++ b/crates/trial/src/site/request.rs
@@ -33,6 +33,12 @@
         let path = "/orders/new".to_owned();
         Self { method: Method::POST, path, key: None, deadline_ms: 1_000 }
     }
+
+    /// Returns an order on the route that the operator adds later.
+    #[must_use]
+    pub fn later_order() -> Self {
+        Self { path: "/later/new".to_owned(), ..Self::order() }
+    }
 }
 
 /// The outcome of a request as its caller saw it.
--- a/crates/trial/tests/large_routing.rs
+++ b/crates/trial/tests/large_routing.rs
@@ -5,14 +5,14 @@
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     serde_json::{Value, json},
-    standin::{caller::Route, proxy},
+    standin::proxy,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::Duration,
     },
     tokio::{net::TcpListener, time},
-    trial::{Site, SitePlan, SiteRequest, eventually},
+    trial::{ROUTES_WITH_LATER, Site, SitePlan, SiteRequest, eventually},
 };
 
 /// The number of routes that no request uses; the configuration then has some 400 KB.
@@ -21,17 +21,6 @@
 /// The size of a message between entries that does not grow with the routing configuration.
 const MAX_MESSAGE_BYTES: usize = 16 << 10;
 
-const ROUTES: [Route; 3] = [
-    Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
-    Route { prefix: "/orders/", kind: "unsafe", service: "orders" },
-    Route { prefix: "/later/", kind: "unsafe", service: "orders" },
-];
-
-/// A request on the route that the large configuration adds.
-fn later_order() -> SiteRequest {
-    SiteRequest { path: "/later/new".to_owned(), ..SiteRequest::order() }
-}
-
 /// A request that no route matches.
 fn request_without_route() -> SiteRequest {
     SiteRequest { path: "/nowhere/1".to_owned(), ..SiteRequest::lookup(1) }
@@ -113,9 +102,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reports_to_a_leader_that_is_behind_stay_small() {
     let site = Site::start(SitePlan::default()).await;
-    site.write_large_routing(7, &ROUTES, FILLER_ROUTES);
+    site.write_large_routing(7, &ROUTES_WITH_LATER, FILLER_ROUTES);
     for entry in 0..3 {
-        site.wait_until_served(entry, &later_order()).await;
+        site.wait_until_served(entry, &SiteRequest::later_order()).await;
     }
     let leader = FakeLeader::start(1).await;
     leader.take_over(&site);
@@ -129,8 +118,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replies_to_an_entry_that_is_behind_stay_small() {
     let site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
-    site.write_large_routing(7, &ROUTES, FILLER_ROUTES);
-    site.wait_until_served(0, &later_order()).await;
+    site.write_large_routing(7, &ROUTES_WITH_LATER, FILLER_ROUTES);
+    site.wait_until_served(0, &SiteRequest::later_order()).await;
     let known_maps = json!([{ "service": "catalogue", "version": 1_u64 << 52 }]);
     let report = json!({
         "vm": "outdated",
@@ -156,13 +145,13 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_on_a_slow_link_gets_a_large_routing_configuration() {
     let mut site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
-    site.write_large_routing(7, &ROUTES, FILLER_ROUTES);
-    site.wait_until_served(0, &later_order()).await;
+    site.write_large_routing(7, &ROUTES_WITH_LATER, FILLER_ROUTES);
+    site.wait_until_served(0, &SiteRequest::later_order()).await;
     site.kill_entry(0);
     // 16 KB in 60 ms: some two seconds for the configuration.
     site.set_store_proxy_fault(0, proxy::Fault { delay_ms: 60, ..proxy::Fault::default() });
     site.start_entry(0);
-    site.wait_until_served(0, &later_order()).await;
+    site.wait_until_served(0, &SiteRequest::later_order()).await;
     assert!(site.is_ready(0).await);
 }
 
@@ -204,8 +193,8 @@
     let response = site.send(0, &request_without_route()).await;
     assert_eq!(response.status, Some(StatusCode::SERVICE_UNAVAILABLE));
     site.wait_until_served(0, &SiteRequest::order()).await;
-    site.write_routing(7, &ROUTES);
-    site.wait_until_served(0, &later_order()).await;
+    site.write_routing(7, &ROUTES_WITH_LATER);
+    site.wait_until_served(0, &SiteRequest::later_order()).await;
     let response = site.send(0, &request_without_route()).await;
     assert_eq!(response.status, Some(StatusCode::NOT_FOUND));
 }
--- a/crates/trial/tests/restored_store.rs
+++ b/crates/trial/tests/restored_store.rs
@@ -1,10 +1,10 @@
 //! A store that comes back from a copy some seconds old: what the entries know outlives it.
 
 use {
-    standin::{caller::Route, check, holder, rows},
+    standin::{check, holder, rows},
     std::{fs, time::Duration},
     tokio::time,
-    trial::{Site, SitePlan, SiteRequest, eventually},
+    trial::{ROUTES_WITH_LATER, Site, SitePlan, SiteRequest, eventually},
 };
 
 const ENTRY_COUNT: usize = 3;
@@ -18,17 +18,6 @@
 /// How long the store does not answer before it returns.
 const OUTAGE: Duration = Duration::from_secs(2);
 
-const ROUTES: [Route; 3] = [
-    Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
-    Route { prefix: "/orders/", kind: "unsafe", service: "orders" },
-    Route { prefix: "/later/", kind: "unsafe", service: "orders" },
-];
-
-/// The route that the operator adds in the time that the store loses.
-fn later_order() -> SiteRequest {
-    SiteRequest { path: "/later/new".to_owned(), ..SiteRequest::order() }
-}
-
 fn sample_keys() -> impl Iterator<Item = u16> {
     (0..=u16::MAX).step_by(4_099)
 }
@@ -49,11 +38,11 @@
     let plan = SitePlan { entries: ENTRY_COUNT, grant_duration_ms: 7_500, ..SitePlan::default() };
     let site = Site::start(plan).await;
     let copy = site.store.copy();
-    site.write_routing(7, &ROUTES);
+    site.write_routing(7, &ROUTES_WITH_LATER);
     let leaving = holder::Fault { draining: true, ..holder::Fault::default() };
     site.set_target_fault(LEAVING_TARGET, leaving).await;
     for entry in 0..ENTRY_COUNT {
-        site.wait_until_served(entry, &later_order()).await;
+        site.wait_until_served(entry, &SiteRequest::later_order()).await;
     }
     // The keys of the target that leaves are handed over.
     time::sleep(Duration::from_secs(2)).await;
@@ -78,18 +67,18 @@
     let mut site = start_with_restored_store().await;
     time::sleep(Duration::from_secs(2)).await;
     for entry in 0..ENTRY_COUNT {
-        let response = site.send(entry, &later_order()).await;
+        let response = site.send(entry, &SiteRequest::later_order()).await;
         assert!(response.is_served(), "a confirmed change was undone: {response:?}");
     }
-    site.write_routing(7, &ROUTES);
+    site.write_routing(7, &ROUTES_WITH_LATER);
     site.kill_target(RESTARTED_TARGET);
     site.start_target(RESTARTED_TARGET);
     for key in sample_keys() {
         site.wait_until_served(1, &SiteRequest::lookup(key)).await;
     }
-    site.write_routing(9, &ROUTES[..2]);
+    site.write_routing(9, &ROUTES_WITH_LATER[..2]);
     eventually("a later change is in force", || async {
-        let response = site.send(2, &later_order()).await;
+        let response = site.send(2, &SiteRequest::later_order()).await;
         (response.status.map(|status| status.as_u16()) == Some(404)).then_some(())
     })
     .await;
@@ -108,7 +97,7 @@
         for key in sample_keys() {
             site.wait_until_served(entry, &SiteRequest::lookup(key)).await;
         }
-        site.wait_until_served(entry, &later_order()).await;
+        site.wait_until_served(entry, &SiteRequest::later_order()).await;
     }
     verify_journal(&site);
 }
@@ -122,7 +111,7 @@
     for entry in 0..ENTRY_COUNT {
         site.start_entry(entry);
     }
-    site.write_routing(7, &ROUTES);
+    site.write_routing(7, &ROUTES_WITH_LATER);
     // No process remembers who got keys in the lost time, so these grants have to run out first.
     time::sleep(Duration::from_secs(20)).await;
     for key in sample_keys() {
