Reset the connection of a request that is given up

Targets got requests seconds after their callers had gone.

Connections to targets are reset when they are dropped with a request under way.

Evidence: a_request_that_is_given_up_resets_its_connection failed before (a connection was closed and not reset) and passes.

--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -185,6 +185,8 @@
             SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
             let stream = socket.connect(self.address).await?;
             stream.set_nodelay(true)?;
+            // A request that is given up must not arrive later from the buffer of a closed socket.
+            stream.set_zero_linger()?;
             http1::Builder::new()
                 .max_buf_size(MAX_HEAD_BYTES)
                 .handshake(TokioIo::new(stream))
--- a/crates/entry/src/traffic/target.rs
+++ b/crates/entry/src/traffic/target.rs
@@ -188,6 +188,8 @@
             .await
             .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        // A request that is given up must not arrive later from the buffer of a closed socket.
+        stream.set_zero_linger()?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(self.options.buffer_bytes)
             .handshake(TokioIo::new(stream))
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -8,7 +8,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::{
-        io::AsyncWriteExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
     },
 };
@@ -21,6 +21,8 @@
     RepeatedRefusal,
     /// The connection closes after so many lines of the head.
     CutHead(usize),
+    /// Requests run and get no response.
+    Silent,
 }
 
 /// The requests that a target has seen, by their attempt ids.
@@ -28,6 +30,9 @@
 struct Seen {
     arrived: HashSet<String>,
     run: HashSet<String>,
+    /// How many connections were closed, and how many reset, while a request had no response.
+    closed: usize,
+    reset: usize,
 }
 
 /// A target with a fault.
@@ -60,6 +65,13 @@
         self.seen().run.contains(id)
     }
 
+    /// Returns how many connections were closed, and how many reset, while a request had no response.
+    #[must_use]
+    pub fn abandoned_counts(&self) -> (usize, usize) {
+        let seen = self.seen();
+        (seen.closed, seen.reset)
+    }
+
     /// Serves connections on `listener`, forever.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
@@ -96,6 +108,17 @@
                     stream.write_all(head.as_bytes()).await?;
                     return Ok(());
                 }
+                Kind::Silent => {
+                    self.seen().run.insert(id.clone());
+                    let end = stream.read(&mut [0]).await;
+                    let mut seen = self.seen();
+                    if end.is_ok() {
+                        seen.closed += 1
+                    } else {
+                        seen.reset += 1
+                    }
+                    return Ok(());
+                }
             }
         }
         Ok(())
--- a/crates/trial/tests/faulty.rs
+++ b/crates/trial/tests/faulty.rs
@@ -75,3 +75,14 @@
         .await;
     }
 }
+
+/// A request that its entry had given up was delivered seconds later, when the link to the target was
+/// whole again: closing a connection goes on sending what is in its buffer, and only a reset drops it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_is_given_up_resets_its_connection() {
+    check_orders(Kind::Silent, |target, response| {
+        let (closed, _) = target.abandoned_counts();
+        assert_eq!(closed, 0, "a connection was closed and not reset: {response:?}");
+    })
+    .await;
+}
