--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -113,9 +113,9 @@
                     let end = stream.read(&mut [0]).await;
                     let mut seen = self.seen();
                     if end.is_ok() {
-                        seen.closed += 1
+                        seen.closed += 1;
                     } else {
-                        seen.reset += 1
+                        seen.reset += 1;
                     }
                     return Ok(());
                 }
