Move busy keys off a target that wants nothing for long

What callers saw: a target that refused with a time to come back kept its keys for that time, so each request for them was refused until it was over, 30 s in the test, while the other targets had room.

Cause: the deferral was known to the entry that heard it and to nobody else. The planner went by rates and service times, and the keys of a target that takes nothing have rates like others.

Evidence: trial::notices::keys_leave_a_target_that_wants_nothing_for_long failed on the commit before ("each key is served by a target that wants requests" did not happen), and passes now. hold::balance::keys_leave_a_target_that_wants_nothing_for_long needs the new interface. A test with an entry that restarts while the store is silent is added, too; it passed before.

Change: an entry reports a deferral once, when it begins. The leader counts a target with a deferral of 2 s or more as fully utilised until its end, both when it chooses who gives and takes keys and where keys without a holder go. All are counted alike if all want nothing, so that balancing among them goes on.

--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -65,6 +65,15 @@
     pub(crate) age_ms: u64,
 }
 
+/// That a target wants no requests for a while.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct DeferralNotice {
+    pub(crate) service: Service,
+    pub(crate) target: Instance,
+    /// For how much longer.
+    pub(crate) remaining_ms: u64,
+}
+
 /// The revision of a leader's board of limits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LimitRevision {
@@ -118,6 +127,9 @@
     /// The targets that said a short time ago that they leave.
     #[serde(default)]
     pub(crate) leaving: Vec<LeavingNotice>,
+    /// The targets that began since the last report to want nothing.
+    #[serde(default)]
+    pub(crate) deferrals: Vec<DeferralNotice>,
 }
 
 /// A map with its version.
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -7,11 +7,14 @@
 
 use {
     super::State,
-    crate::control::{
-        feeds::send,
-        input::Input,
-        message::{KeyCount, KeyLoad, LatencyStats, Reply, Report},
-        records::Member,
+    crate::{
+        control::{
+            feeds::send,
+            input::Input,
+            message::{DeferralNotice, KeyCount, KeyLoad, LatencyStats, Reply, Report},
+            records::Member,
+        },
+        shared::Deferral,
     },
     hold::{
         Map,
@@ -184,14 +187,20 @@
 
     /// Collects a report, and resets the observations that it carries.
     fn make_report(&self, now: Tick) -> Report {
-        let (requests_by_key, crash_reports, ended_instances) = {
+        let (requests_by_key, crash_reports, ended_instances, deferrals) = {
             let mut feedback = self.shared.feedback();
             (
                 std::mem::take(&mut feedback.requests_by_key),
                 std::mem::take(&mut feedback.crash_reports),
                 std::mem::take(&mut feedback.ended_instances),
+                std::mem::take(&mut feedback.deferrals),
             )
         };
+        let to_notice = |deferral: Deferral| DeferralNotice {
+            service: deferral.service,
+            target: deferral.target,
+            remaining_ms: deferral.until.since(now).as_millis() as u64,
+        };
         let mut load = BTreeMap::new();
         for ((service, key), requests) in requests_by_key {
             let keys: &mut Vec<KeyCount> = load.entry(service).or_default();
@@ -221,6 +230,7 @@
             limit_revision: self.limit_revision,
             unreached_percent: self.shared.unreached_percent(),
             leaving: self.leaving_notices(now),
+            deferrals: deferrals.into_iter().map(to_notice).collect(),
         }
     }
 
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -70,6 +70,11 @@
                 planner.load_mut().record_requests(count.key, count.requests);
             }
         }
+        for notice in &report.deferrals {
+            let Some(planner) = leadership.planners.get_mut(&notice.service) else { continue };
+            let span = Duration::from_millis(notice.remaining_ms);
+            planner.load_mut().record_deferral(&notice.target, span, now);
+        }
         for stats in &report.latencies {
             if let Some(planner) = leadership.planners.get_mut(&stats.service) {
                 let seconds = stats.mean_ms as f64 / 1_000.0;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -36,6 +36,16 @@
     pub(crate) ended_instances: Vec<Instance>,
     /// Instances of targets that said that they leave, and when.
     pub(crate) leaving_instances: Vec<(Instance, Tick)>,
+    /// Targets that began to want nothing, and until when.
+    pub(crate) deferrals: Vec<Deferral>,
+}
+
+/// The time until which a target wants nothing, by its own word.
+#[derive(Clone, Debug)]
+pub(crate) struct Deferral {
+    pub(crate) service: Service,
+    pub(crate) target: Instance,
+    pub(crate) until: Tick,
 }
 
 /// The state that both threads use.
--- a/crates/edge/src/traffic/notice.rs
+++ b/crates/edge/src/traffic/notice.rs
@@ -1,7 +1,10 @@
 //! What a target says of itself in an answer, besides its rate limit.
 
 use {
-    crate::{shared::Shared, traffic::target::Target},
+    crate::{
+        shared::{Deferral, Shared},
+        traffic::target::Target,
+    },
     key::clock::Tick,
     platform::header::Notice,
     serde::Serialize,
@@ -16,8 +19,8 @@
     for_ms: u64,
 }
 
-/// Records the notice of a target: what is new in it binds the data path at once, and the control
-/// thread tells other entries that the target leaves.
+/// Records the notice of a target: what is new in it binds the data path at once. The control thread
+/// tells other entries that the target leaves, and the leader for how long it wants nothing.
 pub(crate) fn record(shared: &Shared, target: &Target, notice: Notice) {
     let now = Tick::now();
     let leaving_span = shared.leaving_span();
@@ -28,6 +31,11 @@
     if let Some(span) = notice.retry_after
         && target.condition.record_deferral(span)
     {
+        shared.feedback().deferrals.push(Deferral {
+            service: target.service.clone(),
+            target: target.instance.clone(),
+            until: now.plus(span),
+        });
         log(shared, target, "come back later", span);
     }
     if notice.is_odd {
--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::map::{Instance, Map, Span},
-    std::collections::BTreeMap,
+    key::clock::Tick,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// The time constant of the exponential average of request rates, in seconds.
@@ -35,6 +36,13 @@
 /// one more span.
 const INNER_PART_WEIGHT: f64 = 0.8;
 
+/// The shortest deferral for which keys are reassigned. After a shorter one the target would soon get
+/// them back.
+const MIN_DEFERRAL: Duration = Duration::from_secs(2);
+
+/// The utilisation of a target without room.
+const FULL_UTILISATION: f64 = 1.0;
+
 /// The weight of a new observation in the moving average of service times.
 const SERVICE_TIME_WEIGHT: f64 = 0.2;
 
@@ -48,6 +56,8 @@
     service_times: BTreeMap<Instance, f64>,
     /// The rate limits that targets name, in requests per second.
     rate_limits: BTreeMap<Instance, f64>,
+    /// When the targets that want nothing for long want requests again.
+    deferred_until: BTreeMap<Instance, Tick>,
 }
 
 /// A target that may receive keys, or donate some.
@@ -98,6 +108,21 @@
         self.rate_limits = rate_limits;
     }
 
+    /// Records that a target wants no requests for `span`. Until then it counts as one without room,
+    /// unless the span is short.
+    pub fn record_deferral(&mut self, instance: &Instance, span: Duration, now: Tick) {
+        if span < MIN_DEFERRAL {
+            return;
+        }
+        let until = self.deferred_until.entry(instance.clone()).or_default();
+        *until = now.plus(span).max(*until);
+    }
+
+    /// Forgets the deferrals that are over.
+    pub fn expire_deferrals(&mut self, now: Tick) {
+        self.deferred_until.retain(|_, until| now < *until);
+    }
+
     /// Returns the request rate of a span, in requests per second.
     #[must_use]
     pub fn rate(&self, span: Span) -> f64 {
@@ -113,6 +138,17 @@
         self.rate_limits.get(instance).map_or(of_slots, |limit| of_slots.max(limit.recip()))
     }
 
+    /// Returns the utilisation of a target that gets `rate` requests per second.
+    #[must_use]
+    pub fn utilisation(&self, instance: &Instance, slots: u32, rate: f64) -> f64 {
+        (rate * self.cost(instance, slots)).max(self.min_utilisation(instance))
+    }
+
+    /// Returns the utilisation that a target has whatever its rate: a deferred one counts as full.
+    fn min_utilisation(&self, instance: &Instance) -> f64 {
+        if self.deferred_until.contains_key(instance) { FULL_UTILISATION } else { 0.0 }
+    }
+
     /// Returns the part of `span` with the highest rate up to `max_rate`, and its weighted rate.
     /// The part lies at an end, which leaves fewer spans, or begins at the busiest key that fits,
     /// so that a busy key inside the span can be reassigned.
@@ -172,7 +208,7 @@
 #[must_use]
 pub fn utilisation(map: &Map, load: &Load, candidate: &Candidate) -> f64 {
     let rates = map.held_by(&candidate.instance).map(|assignment| load.rate(assignment.span));
-    rates.sum::<f64>() * load.cost(&candidate.instance, candidate.slots)
+    load.utilisation(&candidate.instance, candidate.slots, rates.sum())
 }
 
 /// The load of a target while reassignments are chosen.
@@ -184,6 +220,8 @@
     rate: f64,
     /// The utilisation that one request per second causes at it.
     cost: f64,
+    /// The utilisation that it has whatever its rate.
+    min_utilisation: f64,
     /// Whether it names a rate limit.
     is_limited: bool,
     /// Whether it has no keys left that it can usefully donate.
@@ -200,13 +238,14 @@
             spans,
             rate,
             cost: load.cost(&candidate.instance, candidate.slots),
+            min_utilisation: load.min_utilisation(&candidate.instance),
             is_limited: load.rate_limits.contains_key(&candidate.instance),
             is_exhausted: !candidate.can_donate,
         }
     }
 
     fn utilisation(&self) -> f64 {
-        self.rate * self.cost
+        (self.rate * self.cost).max(self.min_utilisation)
     }
 
     /// Returns by how much the utilisation of a recipient must be lower for a reassignment.
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -282,6 +282,7 @@
     /// Returns the actions that are due now.
     pub fn next_actions(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
         self.ledger.expire(now);
+        self.load.expire_deferrals(now);
         self.remove_ended_instances(registry);
         let mut actions = Vec::new();
         if self.pending_write.is_none() && !self.needs_row {
--- a/crates/hold/src/planner/place.rs
+++ b/crates/hold/src/planner/place.rs
@@ -172,7 +172,8 @@
         let weight = |span: Span| self.load.rate(span) + f64::from(span.width()) / 65_536.0;
         let utilisation = |(holder, slots): &(Holder, u32)| {
             let held = map.held_by(&holder.instance).map(|assignment| weight(assignment.span));
-            (held.sum::<f64>() + weight(span)) * self.load.cost(&holder.instance, *slots)
+            let rate = held.sum::<f64>() + weight(span);
+            self.load.utilisation(&holder.instance, *slots, rate)
         };
         let least = ready.iter().min_by(|a, b| utilisation(a).total_cmp(&utilisation(b)));
         least.map(|(holder, _)| holder.clone())
--- a/crates/hold/tests/balance.rs
+++ b/crates/hold/tests/balance.rs
@@ -6,7 +6,8 @@
         balance::{Candidate, Load, rebalance, stripes},
         map::Holder,
     },
-    key::{Vm, Zone},
+    key::{Vm, Zone, clock::Tick},
+    std::time::Duration,
 };
 
 fn instance(number: u8) -> Instance {
@@ -182,3 +183,64 @@
     load.set_rate_limits(std::collections::BTreeMap::new());
     assert!(load.cost(&candidate.instance, candidate.slots) < 0.2);
 }
+
+/// A target that wanted nothing kept its keys, whose requests were refused until it wanted some.
+#[test]
+fn keys_leave_a_target_that_wants_nothing_for_long() {
+    struct Case {
+        name: &'static str,
+        deferral: Duration,
+        /// The time after its begin at which keys are reassigned.
+        age: Duration,
+        keys_leave: bool,
+    }
+    let cases = [
+        Case {
+            name: "long",
+            deferral: Duration::from_secs(5),
+            age: Duration::ZERO,
+            keys_leave: true,
+        },
+        Case {
+            name: "short",
+            deferral: Duration::from_secs(1),
+            age: Duration::ZERO,
+            keys_leave: false,
+        },
+        Case {
+            name: "long, and over",
+            deferral: Duration::from_secs(5),
+            age: Duration::from_secs(5),
+            keys_leave: false,
+        },
+    ];
+    let began_at = Tick::default().plus(Duration::from_secs(60));
+    for case in cases {
+        let mut load = Load::default();
+        for key in (0..=u16::MAX).step_by(1_024) {
+            load.record_requests(key, 1);
+        }
+        let map = even_map(4);
+        load.record_deferral(&instance(0), case.deferral, began_at);
+        load.expire_deferrals(began_at.plus(case.age));
+        let reassignments = rebalance(&map, &load, &candidates(4), 16);
+        assert_eq!(!reassignments.is_empty(), case.keys_leave, "{}", case.name);
+        let leaves_first = |reassignment: &hold::balance::Reassignment| {
+            reassignment.from == instance(0) && reassignment.to != instance(0)
+        };
+        assert!(reassignments.iter().all(leaves_first), "{}: {reassignments:?}", case.name);
+    }
+}
+
+/// A shorter deferral that is reported later, by another entry, does not end a longer one.
+#[test]
+fn the_longest_of_several_deferrals_counts() {
+    let now = Tick::default();
+    let mut load = Load::default();
+    load.record_deferral(&instance(0), Duration::from_secs(8), now);
+    load.record_deferral(&instance(0), Duration::from_secs(3), now);
+    load.expire_deferrals(now.plus(Duration::from_secs(7)));
+    assert!(load.utilisation(&instance(0), 2, 0.0) >= 1.0);
+    load.expire_deferrals(now.plus(Duration::from_secs(8)));
+    assert!(load.utilisation(&instance(0), 2, 0.0) < 0.1);
+}
--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -113,6 +113,49 @@
     assert_eq!(after, before, "requests reached the target after it had left");
 }
 
+/// Requests for keys of a target that wants nothing for long were refused until it wanted some.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_leave_a_target_that_wants_nothing_for_long() {
+    const LONG_RETRY_AFTER_S: u32 = 30;
+    let plan = SitePlan { entries: ENTRY_COUNT, grant_duration_ms: 7_500, ..SitePlan::default() };
+    let site = Site::start(plan).await;
+    let fault =
+        holder::Fault { shed: true, retry_after_s: LONG_RETRY_AFTER_S, ..holder::Fault::default() };
+    site.set_target_fault(KEYED_TARGET, fault).await;
+    eventually("each key is served by a target that wants requests", || async {
+        let mut refused = 0;
+        for key in (0..=u16::MAX).step_by(4_099) {
+            refused += usize::from(!site.send(1, &SiteRequest::lookup(key)).await.is_served());
+        }
+        (refused == 0).then_some(())
+    })
+    .await;
+}
+
+/// An entry that had restarted knew nothing of a target's leaving while the store was silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_has_restarted_learns_that_a_target_leaves_without_the_store() {
+    let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+    let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
+    site.set_target_fault(ORDER_TARGET, fault).await;
+    eventually("an entry has an answer of the target that leaves", || async {
+        send_everywhere(&site, 1).await;
+        (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
+    })
+    .await;
+    let restarted = ENTRY_COUNT - 1;
+    site.kill_entry(restarted);
+    site.start_entry(restarted);
+    site.wait_until_served(restarted, &SiteRequest::order()).await;
+    site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
+    send_everywhere(&site, 8).await;
+    time::sleep(LEAVING).await;
+    let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    send_everywhere(&site, 20).await;
+    let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    assert_eq!(after, before, "requests reached the target after it had left");
+}
+
 /// A target that turned a request away and named the time to come back got the next one at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_target_that_names_a_time_to_come_back_gets_nothing_before_it() {
