Accept connections in one place, and log the failures everywhere

The loop that accepts connections, pauses after a failure and waits for responses in flight stood in edge, in entry and, without the stop, in wire.

wire::accept and wire::accept_until have it once now; entry and wire::serve log each failure. A connection whose socket takes no option is closed and reported as a failed accept in all three; before, entry and wire::serve went on with it.

wire::listener tests the stop. Its code is what edge had; no fault was seen in it.

--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -14,13 +14,9 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
-        time,
     },
 };
 
-/// The pause after a failed accept, such as for lack of file descriptors.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The idle time after which a caller's connection is closed while no routing configuration is
 /// known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -45,28 +41,15 @@
     listener: TcpListener,
     shared: Arc<Shared>,
     kind: Kind,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     timeout: Duration,
 ) -> bool {
-    let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                shared.counters.count("connections", "accepted");
-                serve_connection(stream, &shared, kind, &graceful);
-            }
-            Err(error) => {
-                log_failed_accept(&shared, &error);
-                time::sleep(ACCEPT_RETRY_INTERVAL).await;
-            }
-        }
-    }
-    drop(listener);
-    time::timeout(timeout, graceful.shutdown()).await.is_ok()
+    let on_failure = |error| log_failed_accept(&shared, &error);
+    wire::accept_until(stop, listener, timeout, on_failure, |stream, graceful| {
+        shared.counters.count("connections", "accepted");
+        serve_connection(stream, &shared, kind, graceful);
+    })
+    .await
 }
 
 /// Logs that a new connection could not be accepted, such as for lack of file descriptors.
@@ -86,9 +69,6 @@
     kind: Kind,
     graceful: &GracefulShutdown,
 ) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
     let routing = shared.snapshot.load().routing.clone();
     let idle_timeout = routing
         .map_or(DEFAULT_IDLE_TIMEOUT, |routing| Duration::from_millis(routing.limits.idle_ms));
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -7,17 +7,14 @@
         rt::{TokioIo, TokioTimer},
         server::graceful::GracefulShutdown,
     },
+    log::warn,
     std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
-        time,
     },
 };
 
-/// The pause after a connection could not be accepted.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The time in which a caller must send the headers of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -27,26 +24,17 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     context: Arc<Context>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) -> bool {
-    let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(stream, &context, &graceful),
-            Err(_) => time::sleep(ACCEPT_RETRY_INTERVAL).await,
-        }
-    }
-    drop(listener);
     let timeout = Duration::from_millis(context.shared.settings.traffic.stop_ms.get());
-    time::timeout(timeout, graceful.shutdown()).await.is_ok()
+    let on_failure = |error| warn!("a caller's connection was not accepted: {error}");
+    wire::accept_until(stop, listener, timeout, on_failure, |stream, graceful| {
+        spawn_connection(stream, &context, graceful);
+    })
+    .await
 }
 
 fn spawn_connection(stream: TcpStream, context: &Arc<Context>, graceful: &GracefulShutdown) {
-    stream.set_nodelay(true).ok();
     let buffer_bytes = context.shared.settings.traffic.buffer_bytes.get() as usize;
     let context = Arc::clone(context);
     let service = service_fn(move |request| {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod client;
 mod error;
 mod forward;
+mod listener;
 mod server;
 mod socket;
 
@@ -17,6 +18,7 @@
     client::{Client, Config},
     error::{Error, ErrorKind},
     forward::remove_hop_by_hop,
+    listener::{accept, accept_until},
     server::{Reply, json, read_body, read_json, serve, status},
     socket::socket,
 };
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,7 +1,7 @@
 //! The HTTP server and helpers for its handlers.
 
 use {
-    crate::{Error, ErrorKind},
+    crate::{Error, ErrorKind, listener::accept},
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Full, Limited},
@@ -14,9 +14,6 @@
 
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The pause after a failed `accept`, so that a persistent failure doesn't cause a busy loop.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
 /// A response of a control endpoint.
 pub type Reply = Response<Full<Bytes>>;
 
@@ -71,11 +68,10 @@
     F: Future<Output = Reply> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
-        stream.set_nodelay(true).ok();
+        let stream = accept(&listener, |error| {
+            log::warn!("a connection for control traffic was not accepted: {error}");
+        })
+        .await;
         let handler = handler.clone();
         let service = service_fn(move |request| {
             let reply = handler(request);
