Move the admission of requests into a module of its own

The modules handle and attempts of edge named each other: handle makes attempts, and attempts took the types of an admitted request from handle. Admission needs neither. The functions are moved as they were.

--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -11,9 +11,9 @@
     crate::{
         shared::Shared,
         traffic::{
+            admission::AdmittedRequest,
             attempt::{self, AttemptResult, Way},
             body::Body,
-            handle::AdmittedRequest,
             target::{ConnectError, Target},
         },
     },
--- a/crates/edge/src/traffic/attempts/relaying.rs
+++ b/crates/edge/src/traffic/attempts/relaying.rs
@@ -3,9 +3,9 @@
 use {
     super::Attempts,
     crate::traffic::{
+        admission::Origin,
         attempt::{self, AttemptResult, Way},
         body::Body,
-        handle::Origin,
         relay::{self, Answer, MAX_RELAYS},
         target::Target,
     },
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The data path: from a caller's connection to a target and back.
 
+pub(crate) mod admission;
 pub(crate) mod attempt;
 pub(crate) mod attempts;
 pub(crate) mod body;
