Send requests to targets with a body type of their own

The modules target and body of edge named each other: a connection sends bodies, and a response that is passed on holds a connection. Requests are always buffered, so their body is a plain Full<Bytes>, and body alone depends on target. No other change.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -12,7 +12,7 @@
     bytes::{Bytes, BytesMut},
     hold::Instance,
     http::{HeaderMap, Request, Response, StatusCode, Version, header as standard, request::Parts},
-    http_body_util::BodyExt,
+    http_body_util::{BodyExt, Full},
     hyper::body::{Body as _, Incoming},
     key::clock::Tick,
     platform::header::{self, Denial},
@@ -274,8 +274,13 @@
 }
 
 /// Returns the request as it is sent to a target.
-fn outgoing_request(call: &Call, target: &Target, way: Way, remaining: Duration) -> Request<Body> {
-    let mut request = Request::new(Body::Buffered(call.body.clone()));
+fn outgoing_request(
+    call: &Call,
+    target: &Target,
+    way: Way,
+    remaining: Duration,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::from(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
     let headers = request.headers_mut();
--- a/crates/edge/src/traffic/body.rs
+++ b/crates/edge/src/traffic/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of requests and responses.
+//! Bodies of responses.
 //!
 //! A response that is passed on as it arrives has a deadline. At the deadline its connection to the
 //! target is closed, even if the caller has stopped reading, and the caller's connection breaks off
@@ -32,10 +32,10 @@
     Late,
 }
 
-/// The body of a request to a target, or of a response to a caller.
+/// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) enum Body {
-    /// A buffered body, which can be sent again.
+    /// A body that was read whole, or made here.
     Buffered(Bytes),
     /// A target's body, passed on as it arrives.
     Streamed(Box<Stream>),
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -1,11 +1,10 @@
 //! The pool of connections to one instance of a target, and what this entry has observed of it.
 
 use {
-    crate::{
-        sync::lock,
-        traffic::{body::Body, condition::Condition},
-    },
+    crate::{sync::lock, traffic::condition::Condition},
+    bytes::Bytes,
     hold::{Instance, Registration},
+    http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     key::{Service, Zone},
@@ -87,7 +86,7 @@
 /// A connection with the task that drives it; dropping it ends the task.
 #[derive(Debug)]
 struct Channel {
-    sender: SendRequest<Body>,
+    sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
 }
 
@@ -270,7 +269,7 @@
 
 impl Connection {
     /// Returns the sender of the connection.
-    pub(crate) const fn sender(&mut self) -> &mut SendRequest<Body> {
+    pub(crate) const fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
         &mut self.channel.sender
     }
 
