Grant nothing to a target that is gone and does not answer

What callers saw: keys of a target that ended had no holder for as long as its address accepted connections, 40 s in the test; they would have had none for ever. A proxy or balancer in front of a target, a half-closed process or a link that loses answers does that.

Cause: a grant without an answer may have taken effect, so the ledger counts it as in force for its whole duration. The planner sent the next one 0.8 s later, although the registry had lost the target: the ledger never ran out, and the keys never became vacant. Connections that are refused or time out were not affected, since nothing is sent over them.

Found while a test for crashing requests was written.

Change: a holder that the registry lacks and that has failed two commands in a row gets no more grants. Its keys become vacant when the last grant has run out, under the ledger's unchanged rules.

--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -4,7 +4,7 @@
     super::{Action, Grant, Outcome, Planner, session::LostGrant},
     crate::{
         map::{Assignment, Holder, Instance, Span},
-        registry::Registry,
+        registry::{Availability, Registry},
     },
     key::{Fence, clock::Tick},
     std::time::Duration,
@@ -21,7 +21,10 @@
         }
         let withheld = self.withheld_spans();
         for (holder, assignments) in self.map.by_holder() {
-            if self.has_ended(registry, &holder) || !self.can_send(&holder, now) {
+            if self.has_ended(registry, &holder)
+                || self.is_given_up(registry, &holder, now)
+                || !self.can_send(&holder, now)
+            {
                 continue;
             }
             let is_due = self.is_renewal_due(&holder.instance, now);
@@ -47,6 +50,18 @@
         actions
     }
 
+    /// Returns true if a holder is gone from the registry and does not answer. Each further grant might
+    /// take effect although its answer is lost, so that its keys could never be assigned to others.
+    fn is_given_up(&self, registry: &Registry, holder: &Holder, now: Tick) -> bool {
+        let is_gone = match registry.get(&holder.instance.vm) {
+            Some(target) => {
+                !target.is_registered() && registry.availability(target, now) != Availability::Ready
+            }
+            None => registry.is_complete(now),
+        };
+        is_gone && self.is_unresponsive(&holder.instance)
+    }
+
     /// Returns true if a command may be sent to a target now: none is in flight, and the back-off
     /// after a failure has ended.
     fn can_send(&self, holder: &Holder, now: Tick) -> bool {
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -55,11 +55,20 @@
     pub unkeyed_targets: usize,
     /// How long a grant is valid, in milliseconds.
     pub grant_duration_ms: u64,
+    /// Whether targets register the address of a proxy. It accepts connections also while the target
+    /// does not run.
+    pub proxied: bool,
 }
 
 impl Default for SitePlan {
     fn default() -> Self {
-        Self { entries: 3, keyed_targets: 4, unkeyed_targets: 3, grant_duration_ms: 3_000 }
+        Self {
+            entries: 3,
+            keyed_targets: 4,
+            unkeyed_targets: 3,
+            grant_duration_ms: 3_000,
+            proxied: true,
+        }
     }
 }
 
@@ -137,7 +146,7 @@
         };
         site.write_routing(1, &INITIAL_ROUTES);
         for index in 0..plan.keyed_targets + plan.unkeyed_targets {
-            site.add_target(index, index < plan.keyed_targets, store_address).await;
+            site.add_target(index, &plan, store_address).await;
         }
         site.wait_until_targets_listen().await;
         for index in 0..plan.entries {
@@ -162,12 +171,14 @@
         }
     }
 
-    async fn add_target(&mut self, index: usize, keyed: bool, store_address: SocketAddr) {
+    async fn add_target(&mut self, index: usize, plan: &SitePlan, store_address: SocketAddr) {
         let vm = format!("t{index}");
+        let keyed = index < plan.keyed_targets;
         let listen_address = free_address();
         let proxy = Arc::new(Proxy::default());
-        let (listener, registered_address) = bind_free_address().await;
+        let (listener, proxy_address) = bind_free_address().await;
         let (admin_listener, _) = bind_free_address().await;
+        let registered_address = if plan.proxied { proxy_address } else { listen_address };
         tokio::spawn(Arc::clone(&proxy).serve(listener, listen_address, admin_listener));
         let service = if keyed { "catalogue" } else { "orders" };
         let journal = self.dir.join(format!("{vm}.journal"));
