Judge a crash by whether the other targets are reached

What callers saw: of a few targets a third one could be crashed by the same request.

Cause: since entries notice that they reach no target, a refused connection proves a crash only while less than 40 % of the targets are not reached. The target in question counted among them, so the second crash at four targets looked like a fault of the links (50 %) and was not reported.

Change: the share is of the other targets.

--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -154,6 +154,11 @@
         lock(&self.reach).unreached_percent(Instant::now())
     }
 
+    /// Returns the share of the other targets that this entry does not reach, in percent.
+    pub(crate) fn unreached_percent_besides(&self, target: &Instance) -> u8 {
+        lock(&self.reach).unreached_percent_besides(target, Instant::now())
+    }
+
     /// Records whether a target was reached, and logs when this entry becomes isolated or is no
     /// longer.
     pub(crate) fn record_reach(&self, target: &Instance, reached: bool) {
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -43,10 +43,19 @@
 /// they cannot count.
 const RETRY_BUDGET_FRACTION: f64 = 0.75;
 
-/// The share of targets that are not reached, in percent, from which a refused connection proves no
+/// The share of the other targets that are not reached, in percent, from which a refused connection proves no
 /// crash.
 const MAX_CREDIBLE_UNREACHED_PERCENT: u8 = 40;
 
+/// The journal line about a target that refuses connections after it was lost with a request.
+#[derive(Serialize)]
+struct CrashLine<'a> {
+    id: &'a str,
+    target: &'a str,
+    unreached_percent: u8,
+    is_credible: bool,
+}
+
 /// The journal line about a failed attempt.
 #[derive(Serialize)]
 struct AttemptLine<'a> {
@@ -291,7 +300,12 @@
             return;
         }
         // Many targets that refuse connections at once have not crashed: the links are at fault.
-        if self.shared.unreached_percent() >= MAX_CREDIBLE_UNREACHED_PERCENT {
+        let unreached_percent = self.shared.unreached_percent_besides(&target.instance);
+        let is_credible = unreached_percent < MAX_CREDIBLE_UNREACHED_PERCENT;
+        let vm = target.instance.vm.as_str();
+        let line = CrashLine { id: &self.admitted.id, target: vm, unreached_percent, is_credible };
+        self.shared.journal.log("crash", &line);
+        if !is_credible {
             return;
         }
         // Identifies the instance, so that one crash seen by two entries counts once.
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -63,7 +63,7 @@
                 self.outcomes.retain(|_, outcome| outcome.reached);
             }
         } else {
-            let (reached, failed) = self.count(WINDOW, now);
+            let (reached, failed) = self.count(|_| true, WINDOW, now);
             self.isolated = failed >= MIN_FAILING_TARGETS && failed >= FAILING_RATIO * reached;
         }
         self.isolated != was_isolated
@@ -78,20 +78,39 @@
     /// Returns the share of targets that are not reached, in percent; zero if too few were tried.
     #[must_use]
     pub fn unreached_percent(&self, now: Instant) -> u8 {
+        self.unreached_share(|_| true, now)
+    }
+
+    /// Returns the share of the other targets that are not reached, in percent; zero if too few were
+    /// tried. It tells whether the links are at fault for the failure of this one.
+    #[must_use]
+    pub fn unreached_percent_besides(&self, target: &T, now: Instant) -> u8 {
+        self.unreached_share(|other| other != target, now)
+    }
+
+    fn unreached_share(&self, is_counted: impl Fn(&T) -> bool, now: Instant) -> u8 {
         if self.isolated {
             return 100;
         }
-        let (reached, failed) = self.count(SHARE_WINDOW, now);
+        let (reached, failed) = self.count(is_counted, SHARE_WINDOW, now);
         if reached + failed < MIN_SHARE_TARGETS {
             return 0;
         }
         (100 * failed / (reached + failed)) as u8
     }
 
-    /// Returns how many targets were reached and how many were not, by their latest outcome.
-    fn count(&self, window: Duration, now: Instant) -> (usize, usize) {
-        let recent =
-            self.outcomes.values().filter(|outcome| now.duration_since(outcome.at) < window);
+    /// Returns how many of the counted targets were reached and how many were not, by their latest
+    /// outcome.
+    fn count(
+        &self,
+        is_counted: impl Fn(&T) -> bool,
+        window: Duration,
+        now: Instant,
+    ) -> (usize, usize) {
+        let counted = self.outcomes.iter().filter(|(target, _)| is_counted(target));
+        let recent = counted
+            .map(|(_, outcome)| outcome)
+            .filter(|outcome| now.duration_since(outcome.at) < window);
         let (reached, failed): (Vec<&Outcome>, Vec<&Outcome>) =
             recent.partition(|outcome| outcome.reached);
         (reached.len(), failed.len())
--- a/crates/route/tests/reach.rs
+++ b/crates/route/tests/reach.rs
@@ -102,3 +102,40 @@
         assert_eq!(reach.unreached_percent(now), case.unreached_percent, "{}", case.name);
     }
 }
+
+/// The failure of a target was taken for a sign that its links are at fault.
+#[test]
+fn the_failure_of_a_target_says_nothing_of_its_links() {
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        unreached_percent_besides_one: u8,
+    }
+    let cases = [
+        Case {
+            name: "it failed, and one of four others",
+            steps: &[(0, 1, false), (0, 2, true), (0, 3, true), (0, 4, true), (10, 5, false)],
+            unreached_percent_besides_one: 25,
+        },
+        Case {
+            name: "too few others were tried",
+            steps: &[(0, 1, false), (0, 2, true), (0, 3, true), (10, 4, false)],
+            unreached_percent_besides_one: 0,
+        },
+        Case {
+            name: "the links are at fault",
+            steps: &[(0, 1, false), (0, 2, false), (0, 3, false)],
+            unreached_percent_besides_one: 100,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut reach = Reach::default();
+        for (after_ms, target, reached) in case.steps {
+            reach.record(target, *reached, start + Duration::from_millis(*after_ms));
+        }
+        let now = start + Duration::from_millis(20);
+        let percent = reach.unreached_percent_besides(&1, now);
+        assert_eq!(percent, case.unreached_percent_besides_one, "{}", case.name);
+    }
+}
