Watch a connection to a lost target before it counts as alive

What callers saw: as with the product's own conventions, a request could crash more targets than two, if a process accepted connections while it was ending.

Cause: after a loss the probe opened a connection, and an open one was taken as a sign of life.

Change: a connection that was opened to find out must stay open for 20 ms; otherwise another one is opened, within 250 ms in all. A lost request waits 20 ms longer for its next attempt.

--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -38,6 +38,12 @@
 /// The idle time after which a connection is closed.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 
+/// The time in which probes must show that the target's process has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The time for which a connection must stay open to show that it has not.
+const PROBE_SETTLE_TIME: Duration = Duration::from_millis(20);
+
 /// The largest head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
@@ -206,18 +212,27 @@
     }
 
     /// Opens a connection to find out whether the target's process has ended, and returns true if
-    /// the connection is refused.
+    /// the connection is refused. A process that is ending may still accept connections and close
+    /// them, so one that is closed at once is followed by another, until [`PROBE_TIMEOUT`].
     pub(crate) async fn probe_ended(&self) -> bool {
-        match self.open().await {
-            Ok(channel) => {
-                lock(&self.idle).push(IdleConnection { channel, idle_since: Instant::now() });
-                false
-            }
-            Err(error) => {
-                self.record_unreachable();
-                error == ConnectError::Refused
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        while Instant::now() < deadline {
+            match self.open().await {
+                Ok(channel) => {
+                    time::sleep(PROBE_SETTLE_TIME).await;
+                    if !channel.sender.is_closed() {
+                        lock(&self.idle)
+                            .push(IdleConnection { channel, idle_since: Instant::now() });
+                        return false;
+                    }
+                }
+                Err(error) => {
+                    self.record_unreachable();
+                    return error == ConnectError::Refused;
+                }
             }
         }
+        false
     }
 
     /// Closes the idle connections: after one has broken, the others may have too.
