Split the tests of the planner, and test a target that never answers

The tests of hold's planner were one file of 686 lines. They are four files by what they guard, and a fixture; the 23 tests are moved as they were, but for the fixture's commands: a release to an unreachable target had the outcome of its own branch, and has the one of grants now.

New: losses::keys_of_a_target_that_never_answers_are_reassigned_once_it_is_gone, in virtual time, for "Grant nothing to a target that is gone and does not answer". Without that condition it fails (the keys stay with t1); a target that is still registered keeps its keys, as before.

The entry on crashes in PROMISES.md names its tests.

--- /dev/null
+++ b/crates/hold/tests/planner/main.rs
@@ -0,0 +1,7 @@
+//! The rules of the planner, each tested in the case that needs it.
+
+mod fixture;
+mod grants;
+mod losses;
+mod releases;
+mod rows;
