Split the simulation of hold's model

The way of commands and writes, and the faults, are modules of their own now; the two long arms of carry_out are functions.

--- a/crates/hold/tests/sim/mod.rs
+++ b/crates/hold/tests/sim/mod.rs
@@ -1,15 +1,19 @@
 //! A simulation of targets, a store and leaders in virtual time, with faults drawn from a seed.
 
+mod commands;
+mod faults;
 pub mod target;
 
+pub use self::faults::{Faults, Mutation};
+
 use {
+    commands::{Batch, GRANT_TIMEOUT_MS},
     hold::{
-        Action, Connections, Instance, Map, Planner, Registration, Registry, Span,
-        connections::Checkout,
+        Connections, Instance, Map, Planner, Registration, Registry, Span,
         planner::{Config, Grant, Outcome, WriteOutcome},
         registry::State,
     },
-    key::{Era, Service, Version, Vm, Zone, clock::Tick},
+    key::{Service, Version, Vm, Zone, clock::Tick},
     rand::{Rng, SeedableRng, rngs::StdRng},
     smol_str::SmolStr,
     std::{collections::BTreeMap, time::Duration},
@@ -18,10 +22,6 @@
 
 pub const GRANT_DURATION_MS: u64 = 4_000;
 pub const LEADERSHIP_LEASE_MS: u64 = 6_000;
-const GRANT_TIMEOUT_MS: u64 = 400;
-const RELEASE_TIMEOUT_MS: u64 = 2_000;
-/// The time after a confirmation within which a leader opens connections to targets.
-const CONNECT_LEASE_MS: u64 = 800;
 const TICK_INTERVAL_MS: u64 = 100;
 const HOT_KEY_COUNT: u16 = 24;
 /// How long the range of hot keys stays the same.
@@ -29,41 +29,10 @@
 /// How far the range of hot keys shifts at a time, in keys.
 const HOT_RANGE_SHIFT: u64 = 27_919;
 const HEARTBEAT_INTERVAL_MS: u64 = 870;
-/// How long a partition lasts in which a target stays reachable for the partitioned leader only.
-const SHARED_PARTITION_MS: u64 = 15_000;
 const REGISTRATION_EXPIRY_MS: u64 = 3 * HEARTBEAT_INTERVAL_MS;
 /// The interval at which a leader confirms in the store that it still leads.
 const CONFIRMATION_INTERVAL_MS: u64 = 1_000;
 
-/// The faults of one simulation, each as a probability for each command, write or second.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Faults {
-    pub command_lost: f64,
-    pub answer_lost: f64,
-    pub grant_late: f64,
-    pub write_lost: f64,
-    pub write_late: f64,
-    pub crash: f64,
-    pub unregistered: f64,
-    pub leader_crash: f64,
-    pub leader_partition: f64,
-    pub leader_pause: f64,
-    /// The fraction of partitions in which a target stays reachable for the partitioned leader
-    /// only.
-    pub partition_with_target: f64,
-}
-
-/// Defects that can be switched on, to verify that the simulation detects them.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Mutation {
-    /// The leader sends commands without a valid leadership lease.
-    pub unlimited_lease: bool,
-    /// A leader assumes at once that no former leader renews grants any more.
-    pub unconfirmed_former_leaders: bool,
-    /// A connection that closed is replaced silently.
-    pub silent_reconnect: bool,
-}
-
 /// Returns a range of keys that callers request far more often than others. It shifts over time.
 fn hot_keys(now_ms: u64) -> impl Iterator<Item = u16> {
     let first = (now_ms / HOT_RANGE_DURATION_MS * HOT_RANGE_SHIFT
@@ -85,16 +54,6 @@
     }
 }
 
-/// Grants that are being sent to one target, one after the other.
-struct Batch {
-    leader: usize,
-    target_index: usize,
-    instance: Instance,
-    connection: u64,
-    grants: Vec<Grant>,
-    done: Vec<(Grant, Outcome)>,
-}
-
 enum Event {
     Tick(usize),
     Heartbeat(usize),
@@ -433,249 +392,6 @@
         )
     }
 
-    fn carry_out(&mut self, index: usize, action: Action) {
-        match action {
-            Action::Grant { instance, grants, .. } => {
-                let target_index = self.target_index_of(&instance);
-                let incarnation = self.targets[target_index].incarnation;
-                let silent_reconnect = self.mutation.silent_reconnect;
-                let unreachable_target = self.leaders[index].unreachable_target;
-                let is_reachable = self.targets[target_index].is_alive
-                    && (unreachable_target.0 != target_index
-                        || unreachable_target.1 <= self.now_ms);
-                let leader = &mut self.leaders[index];
-                let may_connect = self.now_ms - leader.confirmed_at < CONNECT_LEASE_MS;
-                let mut checkout = leader
-                    .connections
-                    .check_out(&instance, |connection| *connection == incarnation);
-                if silent_reconnect && checkout == Checkout::Closed {
-                    checkout = Checkout::Connect;
-                }
-                let connection = match checkout {
-                    Checkout::Reuse(connection) => Some(connection),
-                    Checkout::Connect if !may_connect => {
-                        let withheld: Vec<_> =
-                            grants.into_iter().map(|grant| (grant, Outcome::Withheld)).collect();
-                        leader.planner.record_grants(&instance, &withheld, tick_at_ms(self.now_ms));
-                        leader.needs_confirmation = true;
-                        return;
-                    }
-                    // A new connection names the target that it is for.
-                    Checkout::Connect
-                        if is_reachable
-                            && self.targets[target_index].current_name == instance.vm =>
-                    {
-                        Some(incarnation)
-                    }
-                    Checkout::Connect => None,
-                    Checkout::Closed => {
-                        let unsent: Vec<_> =
-                            grants.into_iter().map(|grant| (grant, Outcome::Unsent)).collect();
-                        leader.planner.record_grants(&instance, &unsent, tick_at_ms(self.now_ms));
-                        return;
-                    }
-                };
-                if let Some(connection) = connection {
-                    let done = Vec::new();
-                    let batch =
-                        Batch { leader: index, target_index, instance, connection, grants, done };
-                    self.schedule(1, Event::SendGrants(Box::new(batch)));
-                } else {
-                    let results = grants.into_iter().map(|grant| (grant, Outcome::Unsent));
-                    let results = results.collect();
-                    self.schedule(
-                        5,
-                        Event::GrantsDone { leader: index, instance, results, connection: None },
-                    );
-                }
-            }
-            Action::Release { instance, span, .. } => {
-                let target_index = self.target_index_of(&instance);
-                self.schedule(
-                    1,
-                    Event::SendRelease { leader: index, target_index, instance, span },
-                );
-            }
-            Action::Write(map) => {
-                let term = self.leaders[index].term;
-                let partitioned = self.leaders[index].partitioned_until > self.now_ms;
-                let lost = self.draw(self.faults.write_lost);
-                let late = self.draw(self.faults.write_late);
-                let event = |is_answered| Event::Write {
-                    leader: index,
-                    term,
-                    map: map.clone(),
-                    is_answered,
-                };
-                if partitioned || lost {
-                    if lost && !partitioned {
-                        let delay_ms = if late { self.rng.random_range(1_000..6_000) } else { 4 };
-                        self.schedule(delay_ms, event(false));
-                    }
-                    let result = WriteOutcome::Unknown;
-                    self.schedule(1_200, Event::WriteDone { leader: index, result });
-                } else {
-                    self.schedule(4, event(true));
-                }
-            }
-        }
-    }
-
-    fn send_next_grant(&mut self, mut batch: Batch) {
-        let paused_until = self.leaders[batch.leader].paused_until;
-        if paused_until > self.now_ms {
-            self.schedule(paused_until - self.now_ms, Event::SendGrants(Box::new(batch)));
-            return;
-        }
-        if batch.grants.is_empty() {
-            let Batch { leader, instance, connection, done, .. } = batch;
-            self.schedule(
-                1,
-                Event::GrantsDone { leader, instance, results: done, connection: Some(connection) },
-            );
-            return;
-        }
-        let grant = batch.grants.remove(0);
-        let target = &self.targets[batch.target_index];
-        let is_closed = !target.is_alive || target.incarnation != batch.connection;
-        let lost = is_closed || self.draw(self.faults.command_lost);
-        let unanswered = self.draw(self.faults.answer_lost);
-        let late = self.draw(self.faults.grant_late);
-        let mut outcome = Outcome::Granted;
-        if !lost {
-            if late {
-                let delay_ms = self.rng.random_range(500..6_000);
-                let (target_index, incarnation) =
-                    (batch.target_index, self.targets[batch.target_index].incarnation);
-                let arrived_at = self.now_ms;
-                self.schedule(
-                    delay_ms,
-                    Event::ApplyGrant {
-                        target_index,
-                        incarnation,
-                        grant: grant.clone(),
-                        arrived_at,
-                    },
-                );
-            } else if !self.targets[batch.target_index].apply(
-                &grant,
-                self.now_ms,
-                GRANT_DURATION_MS,
-                self.now_ms,
-            ) {
-                outcome = Outcome::Fenced;
-            }
-        }
-        if lost || unanswered || late {
-            let Batch { leader, instance, grants, mut done, .. } = batch;
-            done.push((grant, Outcome::Lost));
-            done.extend(grants.into_iter().map(|grant| (grant, Outcome::Unsent)));
-            let event = Event::GrantsDone { leader, instance, results: done, connection: None };
-            self.schedule(GRANT_TIMEOUT_MS, event);
-            return;
-        }
-        batch.done.push((grant, outcome));
-        self.schedule(2, Event::SendGrants(Box::new(batch)));
-    }
-
-    fn send_release(&mut self, leader: usize, target_index: usize, instance: Instance, span: Span) {
-        let unreachable_target = self.leaders[leader].unreachable_target;
-        let is_reachable = self.targets[target_index].is_alive
-            && self.targets[target_index].current_name == instance.vm
-            && (unreachable_target.0 != target_index || unreachable_target.1 <= self.now_ms);
-        let lost = !is_reachable || self.draw(self.faults.command_lost);
-        let unanswered = self.draw(self.faults.answer_lost);
-        let mut result = Err(Outcome::Lost);
-        let mut delay_ms = RELEASE_TIMEOUT_MS;
-        if !lost {
-            self.targets[target_index].release(span);
-            if !unanswered {
-                result = Ok(Some(SmolStr::from("warm")));
-                delay_ms = self.rng.random_range(2..300);
-            }
-        }
-        self.schedule(delay_ms, Event::ReleaseDone { leader, instance, span, result });
-    }
-
-    fn commit_write(&mut self, leader: usize, term: u64, map: &Map, is_answered: bool) {
-        self.trace(|| format!("leader {leader} writes {map:?}"));
-        let current = self.row.as_ref().map_or(0, |(_, version)| *version);
-        let is_current = term == self.current_term && map.version.get() == current;
-        let mut result = WriteOutcome::Unknown;
-        if is_current {
-            self.version += 1;
-            self.row = Some((map.to_bytes(Era::ZERO), self.version));
-            result = WriteOutcome::Committed(Version::from(self.version));
-        }
-        if is_answered {
-            self.schedule(2, Event::WriteDone { leader, result });
-        }
-    }
-
-    fn read_row(&mut self, index: usize) {
-        let leader = &mut self.leaders[index];
-        if leader.partitioned_until > self.now_ms || leader.term != self.current_term {
-            return;
-        }
-        if let Some((bytes, version)) = &self.row {
-            let map = Map::parse(bytes, Version::from(*version)).expect("a complete row");
-            leader.planner.record_row(Some((map, Version::from(*version))));
-        }
-    }
-
-    fn inject_faults(&mut self) {
-        self.schedule(500, Event::Fault);
-        let faults = self.faults;
-        for target_index in 0..self.targets.len() {
-            if self.targets[target_index].is_alive && self.draw(faults.crash / 2.0) {
-                self.trace(|| format!("target {target_index} crashes"));
-                self.targets[target_index].crash();
-                let name = self.targets[target_index].name();
-                self.schedule(REGISTRATION_EXPIRY_MS, Event::ExpireRegistration(name));
-                let delay_ms = self.rng.random_range(50..5_000);
-                self.schedule(delay_ms, Event::Restart(target_index));
-            }
-            if self.draw(faults.unregistered / 2.0) {
-                self.targets[target_index].unregistered_until =
-                    self.now_ms + self.rng.random_range(2_000..8_000);
-                let name = self.targets[target_index].name();
-                self.registry.remove(&name, tick_at_ms(self.now_ms));
-            }
-        }
-        let current = self.leaders.len() - 1;
-        let crash = self.draw(faults.leader_crash / 2.0);
-        let partitioned = self.draw(faults.leader_partition / 2.0);
-        let pause = self.draw(faults.leader_pause / 2.0);
-        let duration_ms = self.rng.random_range(1_000..12_000);
-        if crash {
-            self.leaders[current].is_alive = false;
-        } else if partitioned {
-            self.leaders[current].partitioned_until = self.now_ms + duration_ms;
-            self.leaders[current].last_registry = self.registry.clone();
-        } else if pause {
-            self.leaders[current].paused_until = self.now_ms + duration_ms;
-        }
-        let is_shared = partitioned && self.draw(faults.partition_with_target);
-        if crash || partitioned || pause {
-            self.trace(|| {
-                format!(
-                    "leader {current} crash {crash} partition {partitioned} pause {pause} \
-                     {duration_ms} ms"
-                )
-            });
-            self.elect_leader();
-        }
-        if is_shared {
-            let target_index = self.rng.random_range(0..self.targets.len());
-            let until = self.now_ms + SHARED_PARTITION_MS;
-            self.leaders[current].partitioned_until = until;
-            self.leaders[current + 1].unreachable_target = (target_index, until);
-            self.targets[target_index].unregistered_until = until;
-            let name = self.targets[target_index].name();
-            self.registry.remove(&name, tick_at_ms(self.now_ms));
-        }
-    }
-
     fn check_holders(&mut self) {
         for a in 0..self.targets.len() {
             for b in a + 1..self.targets.len() {
