--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a target in trouble, which sends bytes without end until its caller closes.
 
 use {
-    crate::raw::read_request,
+    crate::raw::{read_request, serve_connections},
     std::{
         io,
         sync::{Arc, Mutex, PoisonError},
@@ -61,14 +61,11 @@
 
     /// Serves connections on `listener`, forever.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+        serve_connections(listener, |stream| {
             let target = Arc::clone(&self);
-            tokio::spawn(async move {
-                // The caller has closed the connection; that is what the target waits for.
-                target.answer(stream).await.ok();
-            });
-        }
+            async move { target.answer(stream).await }
+        })
+        .await;
     }
 
     async fn answer(&self, mut stream: TcpStream) -> io::Result<()> {
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a target whose responses break the protocol.
 
 use {
-    crate::raw::read_request,
+    crate::raw::{read_request, serve_connections},
     std::{
         collections::HashSet,
         io,
@@ -74,14 +74,11 @@
 
     /// Serves connections on `listener`, forever.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
+        serve_connections(listener, |stream| {
             let target = Arc::clone(&self);
-            tokio::spawn(async move {
-                // An error is expected if the caller disconnects.
-                target.serve_connection(stream).await.ok();
-            });
-        }
+            async move { target.serve_connection(stream).await }
+        })
+        .await;
     }
 
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
--- a/crates/standin/src/raw.rs
+++ b/crates/standin/src/raw.rs
@@ -1,12 +1,30 @@
-//! Reading requests from a socket, for stand-ins that break the protocol in their responses.
+//! Sockets without an HTTP server, for stand-ins that break the protocol in their responses.
 
 use {
-    std::io,
-    tokio::{io::AsyncReadExt, net::TcpStream},
+    std::{future::Future, io},
+    tokio::{
+        io::AsyncReadExt,
+        net::{TcpListener, TcpStream},
+    },
 };
 
 const MAX_REQUEST_BYTES: usize = 16 << 10;
 
+/// Passes each connection to `serve`, in a task of its own, forever.
+pub(crate) async fn serve_connections<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = io::Result<()>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let served = serve(stream);
+        tokio::spawn(async move {
+            // An error is expected if the caller disconnects.
+            served.await.ok();
+        });
+    }
+}
+
 /// Reads a request with its body and returns its attempt id, or `None` if the connection ends.
 pub(crate) async fn read_request(stream: &mut TcpStream) -> io::Result<Option<String>> {
     let mut bytes = Vec::new();
--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -45,25 +45,36 @@
     }
 }
 
-/// A target that said that it leaves got requests for as long as its registration was not read.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_target_that_says_that_it_leaves_gets_nothing_more_without_the_store() {
-    let site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
-    site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
+/// Makes a target for orders say that it leaves, and calls `send` until one of its answers has done so.
+async fn say_leaving(site: &Site, send: impl AsyncFn()) {
     let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
     site.set_target_fault(ORDER_TARGET, fault).await;
     eventually("an entry has an answer of the target that leaves", || async {
-        send_everywhere(&site, 1).await;
+        send().await;
         (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
     })
     .await;
-    // The other entries hear it from the leader, unless the target has answered them, too.
-    send_everywhere(&site, 8).await;
+}
+
+/// Checks that none of the requests that `send` sends reaches a target once it may get none.
+async fn check_no_arrivals_after_leaving(site: &Site, target: usize, send: impl AsyncFn()) {
     time::sleep(LEAVING).await;
-    let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
-    send_everywhere(&site, 20).await;
-    let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
+    let before = arrivals(&site.journal_lines(), target).count();
+    send().await;
+    let after = arrivals(&site.journal_lines(), target).count();
     assert_eq!(after, before, "requests reached the target after it had left");
+}
+
+/// A target that said that it leaves got requests for as long as its registration was not read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_says_that_it_leaves_gets_nothing_more_without_the_store() {
+    let site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+    site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
+    say_leaving(&site, async || send_everywhere(&site, 1).await).await;
+    // The other entries hear it from the leader, unless the target has answered them, too.
+    send_everywhere(&site, 8).await;
+    check_no_arrivals_after_leaving(&site, ORDER_TARGET, async || send_everywhere(&site, 20).await)
+        .await;
     site.wait_until_served(0, &SiteRequest::order()).await;
 }
 
@@ -77,22 +88,18 @@
     site.start_entry(isolated);
     site.wait_until_served(isolated, &SiteRequest::order()).await;
     site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
-    let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
-    site.set_target_fault(ORDER_TARGET, fault).await;
-    eventually("the target that leaves has answered", || async {
+    let send_one = async || {
         site.send(isolated, &SiteRequest::order()).await;
-        (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
+    };
+    say_leaving(&site, send_one).await;
+    send_everywhere(&site, 8).await;
+    check_no_arrivals_after_leaving(&site, ORDER_TARGET, async || {
+        for _ in 0..30 {
+            let response = site.send(isolated, &SiteRequest::order()).await;
+            assert!(response.is_served(), "{response:?}");
+        }
     })
     .await;
-    send_everywhere(&site, 8).await;
-    time::sleep(LEAVING).await;
-    let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
-    for _ in 0..30 {
-        let response = site.send(isolated, &SiteRequest::order()).await;
-        assert!(response.is_served(), "{response:?}");
-    }
-    let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
-    assert_eq!(after, before, "requests reached the target after it had left");
 }
 
 /// Keys of a target that said only in its answers that it leaves were not handed over.
@@ -103,14 +110,13 @@
     let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
     site.set_target_fault(KEYED_TARGET, fault).await;
     send_everywhere(&site, 16).await;
-    time::sleep(LEAVING).await;
-    let before = arrivals(&site.journal_lines(), KEYED_TARGET).count();
-    for key in (0..=u16::MAX).step_by(4_099) {
-        let response = site.send(1, &SiteRequest::lookup(key)).await;
-        assert!(response.is_served(), "{response:?}");
-    }
-    let after = arrivals(&site.journal_lines(), KEYED_TARGET).count();
-    assert_eq!(after, before, "requests reached the target after it had left");
+    check_no_arrivals_after_leaving(&site, KEYED_TARGET, async || {
+        for key in (0..=u16::MAX).step_by(4_099) {
+            let response = site.send(1, &SiteRequest::lookup(key)).await;
+            assert!(response.is_served(), "{response:?}");
+        }
+    })
+    .await;
 }
 
 /// Requests for keys of a target that wants nothing for long were refused until it wanted some.
@@ -136,24 +142,15 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_that_has_restarted_learns_that_a_target_leaves_without_the_store() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
-    let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
-    site.set_target_fault(ORDER_TARGET, fault).await;
-    eventually("an entry has an answer of the target that leaves", || async {
-        send_everywhere(&site, 1).await;
-        (arrivals(&site.journal_lines(), ORDER_TARGET).count() > 0).then_some(())
-    })
-    .await;
+    say_leaving(&site, async || send_everywhere(&site, 1).await).await;
     let restarted = ENTRY_COUNT - 1;
     site.kill_entry(restarted);
     site.start_entry(restarted);
     site.wait_until_served(restarted, &SiteRequest::order()).await;
     site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
     send_everywhere(&site, 8).await;
-    time::sleep(LEAVING).await;
-    let before = arrivals(&site.journal_lines(), ORDER_TARGET).count();
-    send_everywhere(&site, 20).await;
-    let after = arrivals(&site.journal_lines(), ORDER_TARGET).count();
-    assert_eq!(after, before, "requests reached the target after it had left");
+    check_no_arrivals_after_leaving(&site, ORDER_TARGET, async || send_everywhere(&site, 20).await)
+        .await;
 }
 
 /// A target that turned a request away and named the time to come back got the next one at once.
