Decide in one place what a target takes by its own answers

The back-off after a plain refusal, the time that a target names to come back, and its rate limit were asked one after the other, in edge and in route, each with its own state. route::Backpressure has the first two, and one function says what the target takes, in a fixed order: nothing until the time it named, then one request that finds out, then what no other target takes, then anything. The case of a used-up rate limit is an argument, since permits are asked for elsewhere.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -125,7 +125,7 @@
         return AttemptResult::Unsent(ConnectError::Leaving);
     }
     // This request is one of those in flight.
-    if !target.condition.admits(target.in_flight().saturating_sub(1)) {
+    if !target.condition.intake(target.in_flight().saturating_sub(1), false).admits() {
         connection.release();
         return AttemptResult::Unsent(ConnectError::Deferred);
     }
@@ -176,7 +176,7 @@
     if denial != Some(Denial::WrongTarget) && way == Way::Direct {
         let said = header::notice(&response);
         if denial.is_none() {
-            target.condition.end_deferral();
+            target.condition.record_taken();
         }
         notice::record(shared, &target, said);
         record_limit(shared, &target, response.headers(), sent_at);
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -126,7 +126,7 @@
                 snapshot.holder(&self.admitted.service, key).filter(|target| {
                     !target.condition.is_unreachable()
                         && !target.condition.has_denied(key, map_version)
-                        && target.condition.admits(target.in_flight())
+                        && target.condition.intake(target.in_flight(), false).admits()
                 })
             }
             _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -7,6 +7,7 @@
     crate::{shared::Shared, snapshot::Snapshot, traffic::target::Target},
     conf::routing::{Route, WeightedService},
     key::{Service, Zone, clock::Tick},
+    route::backpressure::Intake,
     std::sync::Arc,
 };
 
@@ -47,10 +48,11 @@
     let mut candidates: Vec<&Arc<Target>> = ready
         .iter()
         .filter(is_untried)
+        .filter(|target| !target.condition.is_unreachable())
         .filter(|target| {
-            !target.condition.is_deprioritized() && target.condition.admits(target.in_flight())
+            let is_over_limit = limits.is_avoided(&target.instance, now);
+            target.condition.intake(target.in_flight(), is_over_limit) == Intake::Any
         })
-        .filter(|target| !limits.is_avoided(&target.instance, now))
         .collect();
     let needs_trickle =
         |target: &&&Arc<Target>| limits.needs_trickle(&target.instance, entries, now);
@@ -76,9 +78,9 @@
     cheapest.map(|target| Arc::clone(target))
 }
 
-/// Returns the targets that have not said that they want nothing.
+/// Returns the targets that take a request, if only for lack of others.
 fn admitting(ready: &[Arc<Target>]) -> impl Iterator<Item = &Arc<Target>> {
-    ready.iter().filter(|target| target.condition.admits(target.in_flight()))
+    ready.iter().filter(|target| target.condition.intake(target.in_flight(), false).admits())
 }
 
 /// Returns the expected latency in seconds, weighted by zone.
--- a/crates/edge/src/traffic/condition.rs
+++ b/crates/edge/src/traffic/condition.rs
@@ -4,7 +4,7 @@
     crate::sync::lock,
     hold::Span,
     key::{Version, clock::Tick},
-    route::Deferral,
+    route::{Backpressure, backpressure::Intake},
     std::{
         sync::{
             Mutex,
@@ -23,9 +23,6 @@
 /// The time for which requests to a target that no other entry reached are not passed on.
 const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
 
-/// The back-off after a target shed a request.
-const SHED_BACKOFF: Duration = Duration::from_millis(60);
-
 /// The time for which a target gets no requests for keys that it denied to hold.
 const DENIAL_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -44,8 +41,6 @@
 /// The condition of one instance of a target.
 #[derive(Debug)]
 pub(crate) struct Condition {
-    /// The end of the back-off after a shed request.
-    shed_backoff_until: Mutex<Option<Instant>>,
     /// The end of the back-off after a failed connection.
     unreachable_until: Mutex<Option<Instant>>,
     /// The time until which no other entry is taken to reach the target.
@@ -56,20 +51,19 @@
     closes_at_us: AtomicU64,
     /// When the target takes no more requests by its own word, which it cannot take back.
     leaves_at_us: AtomicU64,
-    deferral: Mutex<Deferral>,
+    backpressure: Mutex<Backpressure>,
     denied_spans: Mutex<Vec<DeniedSpan>>,
 }
 
 impl Default for Condition {
     fn default() -> Self {
         Self {
-            shed_backoff_until: Mutex::default(),
             unreachable_until: Mutex::default(),
             unreached_elsewhere_until: Mutex::default(),
             ended: AtomicBool::new(false),
             closes_at_us: AtomicU64::new(NEVER_CLOSES_US),
             leaves_at_us: AtomicU64::new(NEVER_CLOSES_US),
-            deferral: Mutex::default(),
+            backpressure: Mutex::default(),
             denied_spans: Mutex::default(),
         }
     }
@@ -120,7 +114,7 @@
 
     /// Records that the target shed a request.
     pub(crate) fn record_shed(&self) {
-        *lock(&self.shed_backoff_until) = Some(Instant::now() + SHED_BACKOFF);
+        lock(&self.backpressure).record_shed(Instant::now());
     }
 
     /// Records that the target denied to hold keys that a map assigns to it.
@@ -165,23 +159,23 @@
 
     /// Records that the target wants nothing for `span`. Returns true if it wanted something before.
     pub(crate) fn record_deferral(&self, span: Duration) -> bool {
-        lock(&self.deferral).begin(span, Instant::now())
+        lock(&self.backpressure).record_deferral(span, Instant::now())
     }
 
     /// Records that the target took a request: it wants more.
-    pub(crate) fn end_deferral(&self) {
-        lock(&self.deferral).end(Instant::now());
+    pub(crate) fn record_taken(&self) {
+        lock(&self.backpressure).record_taken(Instant::now());
     }
 
     /// Returns for how long the target wants nothing, if it does.
     pub(crate) fn deferred_for(&self) -> Option<Duration> {
-        lock(&self.deferral).remaining(Instant::now())
+        lock(&self.backpressure).deferred_for(Instant::now())
     }
 
-    /// Returns true if the target may get a request besides `others` that are in flight: the first one
-    /// after a deferral goes alone.
-    pub(crate) fn admits(&self, others: usize) -> bool {
-        lock(&self.deferral).admits(others, Instant::now())
+    /// Returns what the target takes besides `others` that are in flight. `is_over_limit` says that it
+    /// has no permit left under its rate limit.
+    pub(crate) fn intake(&self, others: usize, is_over_limit: bool) -> Intake {
+        lock(&self.backpressure).intake(others, is_over_limit, Instant::now())
     }
 
     /// Returns true if the target has ended, is closed, or could not be reached recently.
@@ -190,10 +184,4 @@
             || self.is_closed()
             || lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until)
     }
-
-    /// Returns true if other targets should be preferred now.
-    pub(crate) fn is_deprioritized(&self) -> bool {
-        self.is_unreachable()
-            || lock(&self.shed_backoff_until).is_some_and(|until| Instant::now() < until)
-    }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,9 +6,9 @@
 entry carries the decisions out. See docs/DESIGN.md.
 */
 
+pub mod backpressure;
 pub mod budget;
 pub mod choice;
-pub mod deferral;
 pub mod header;
 pub mod locate;
 pub mod outcome;
@@ -16,8 +16,8 @@
 pub mod reach;
 
 pub use crate::{
+    backpressure::Backpressure,
     budget::Budget,
-    deferral::Deferral,
     outcome::{Outcome, Reason, Refusal},
     quarantine::Quarantine,
     reach::Reach,
