--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -45,6 +45,13 @@
     }
 }
 
+/// Restarts an entry in such a way that it reaches no target.
+fn restart_isolated(site: &mut Site, entry: usize) {
+    site.kill_entry(entry);
+    site.set_setting(entry, "source", json!(FOREIGN_ADDRESS));
+    site.start_entry(entry);
+}
+
 /// Makes a target for orders say that it leaves, and calls `send` until one of its answers has done so.
 async fn say_leaving(site: &Site, send: impl AsyncFn()) {
     let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
@@ -83,9 +90,7 @@
 async fn a_target_that_says_that_it_leaves_gets_nothing_more_through_another_entry() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
     let isolated = ENTRY_COUNT - 1;
-    site.kill_entry(isolated);
-    site.set_setting(isolated, "source", json!(FOREIGN_ADDRESS));
-    site.start_entry(isolated);
+    restart_isolated(&mut site, isolated);
     site.wait_until_served(isolated, &SiteRequest::order()).await;
     site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
     let send_one = async || {
@@ -160,19 +165,57 @@
         name: &'static str,
         target: usize,
         request: fn(u16) -> SiteRequest,
+        /// Requests of the other service.
+        other: fn(u16) -> SiteRequest,
+        /// Whether an entry reaches no target itself.
+        is_one_isolated: bool,
+        /// Whether an entry restarts midway, which has heard nothing then.
+        does_one_restart: bool,
     }
+    let keyed = Case {
+        name: "keyed",
+        target: KEYED_TARGET,
+        request: SiteRequest::lookup,
+        other: |_| SiteRequest::order(),
+        is_one_isolated: false,
+        does_one_restart: false,
+    };
+    let unkeyed = Case {
+        name: "unkeyed",
+        target: ORDER_TARGET,
+        request: |_| SiteRequest::order(),
+        other: SiteRequest::lookup,
+        is_one_isolated: false,
+        does_one_restart: false,
+    };
     let cases = [
-        Case { name: "keyed", target: KEYED_TARGET, request: SiteRequest::lookup },
-        Case { name: "unkeyed", target: ORDER_TARGET, request: |_| SiteRequest::order() },
+        Case { name: "keyed, with an isolated entry", is_one_isolated: true, ..keyed },
+        Case { name: "keyed, with a restart", does_one_restart: true, ..keyed },
+        Case { name: "unkeyed, with an isolated entry", is_one_isolated: true, ..unkeyed },
+        Case { name: "unkeyed, with a restart", does_one_restart: true, ..unkeyed },
+        keyed,
+        unkeyed,
     ];
     for case in cases {
-        let site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+        let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
+        if case.is_one_isolated {
+            restart_isolated(&mut site, ENTRY_COUNT - 1);
+            site.wait_until_served(ENTRY_COUNT - 1, &(case.request)(0)).await;
+        }
         let fault =
             holder::Fault { shed: true, retry_after_s: RETRY_AFTER_S, ..holder::Fault::default() };
         site.set_target_fault(case.target, fault).await;
-        let started_at = time::Instant::now();
+        let ends_at = time::Instant::now() + Duration::from_secs(u64::from(RETRY_AFTER_S) - 1);
+        let restarts_at = ends_at - Duration::from_secs(1);
+        let mut has_restarted = !case.does_one_restart;
         let mut refused_without_time = 0;
-        while started_at.elapsed() < Duration::from_secs(u64::from(RETRY_AFTER_S) - 1) {
+        while time::Instant::now() < ends_at {
+            if !has_restarted && time::Instant::now() >= restarts_at {
+                has_restarted = true;
+                site.kill_entry(0);
+                site.start_entry(0);
+                site.wait_until_served(0, &(case.other)(0)).await;
+            }
             for entry in 0..ENTRY_COUNT {
                 let response = site.send(entry, &(case.request)(rand::random())).await;
                 let has_time = response.headers.contains_key("retry-after");
@@ -182,8 +225,9 @@
         }
         let lines = site.journal_lines();
         let arrived = arrivals(&lines, case.target).count();
-        // Each entry gets its first refusal, and may have sent others by then.
-        assert!(arrived <= 3 * ENTRY_COUNT, "{}: {arrived} requests arrived", case.name);
+        // Each process gets its first refusal, and may have sent others by then.
+        let processes = ENTRY_COUNT + usize::from(case.does_one_restart);
+        assert!(arrived <= 3 * processes, "{}: {arrived} requests arrived", case.name);
         assert!(arrived >= 1, "{}: the target got no request", case.name);
         assert_eq!(refused_without_time, 0, "{}: refusals name no time", case.name);
         // Afterwards it is tried again.
