--- a/crates/trial/tests/isolated.rs
+++ b/crates/trial/tests/isolated.rs
@@ -10,9 +10,6 @@
 
 const ENTRY_COUNT: usize = 3;
 
-/// An address that is not this machine's: no connection can be opened from it.
-const FOREIGN_ADDRESS: &str = "192.0.2.1";
-
 /// The number of requests of which nearly all must be served, as at an entry that reaches targets.
 const REQUESTS: usize = 60;
 
@@ -20,13 +17,6 @@
     (number * 1_093 % 65_536) as u16
 }
 
-/// Restarts an entry so that it reaches no target.
-fn restart_isolated(site: &mut Site, entry: usize) {
-    site.kill_entry(entry);
-    site.set_setting(entry, "source", json!(FOREIGN_ADDRESS));
-    site.start_entry(entry);
-}
-
 /// Slows the work of the targets for orders down.
 async fn set_slow(site: &Site, slow_ms: u64) {
     let plan = SitePlan::default();
@@ -61,7 +51,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_that_reaches_no_target_serves_through_others() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
-    restart_isolated(&mut site, 2);
+    site.restart_isolated(2);
     eventually("the entry is ready", || async { site.is_ready(2).await.then_some(()) }).await;
     site.wait_until_served(2, &SiteRequest::lookup(1)).await;
     site.wait_until_served(2, &SiteRequest::order()).await;
@@ -75,7 +65,7 @@
 async fn two_of_three_entries_that_reach_no_target_serve_through_the_third() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
     for entry in [0, 1] {
-        restart_isolated(&mut site, entry);
+        site.restart_isolated(entry);
         site.wait_until_served(entry, &SiteRequest::order()).await;
     }
     for entry in [0, 1] {
@@ -93,7 +83,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_order_that_was_passed_on_to_a_lost_entry_may_have_run() {
     let mut site = Site::start(SitePlan { entries: 2, ..SitePlan::default() }).await;
-    restart_isolated(&mut site, 1);
+    site.restart_isolated(1);
     site.wait_until_served(1, &SiteRequest::order()).await;
     set_slow(&site, 400).await;
     let order = SiteRequest { deadline_ms: 2_000, ..SiteRequest::order() };
@@ -116,7 +106,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_planned_stop_completes_requests_that_others_passed_on() {
     let mut site = Site::start(SitePlan { entries: 2, ..SitePlan::default() }).await;
-    restart_isolated(&mut site, 1);
+    site.restart_isolated(1);
     site.wait_until_served(1, &SiteRequest::order()).await;
     set_slow(&site, 800).await;
     let order = SiteRequest { deadline_ms: 3_000, ..SiteRequest::order() };
@@ -133,7 +123,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_was_passed_on_ends_when_its_caller_leaves() {
     let mut site = Site::start(SitePlan { entries: 2, ..SitePlan::default() }).await;
-    restart_isolated(&mut site, 1);
+    site.restart_isolated(1);
     site.wait_until_served(1, &SiteRequest::order()).await;
     set_slow(&site, 3_000).await;
     let order = SiteRequest { deadline_ms: 4_000, ..SiteRequest::order() };
@@ -163,7 +153,7 @@
         site.set_setting(entry, "power", json!(0.5));
     }
     // The strongest entry campaigns first.
-    restart_isolated(&mut site, 0);
+    site.restart_isolated(0);
     time::sleep(Duration::from_millis(500)).await;
     for entry in 1..ENTRY_COUNT {
         site.start_entry(entry);
--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -2,7 +2,6 @@
 
 use {
     key::Vm,
-    serde_json::json,
     standin::{
         holder,
         journal::{Kind, Line},
@@ -15,9 +14,6 @@
 
 const ENTRY_COUNT: usize = 3;
 
-/// An address that is not this machine's: no connection can be opened from it.
-const FOREIGN_ADDRESS: &str = "192.0.2.1";
-
 /// The first target that serves orders; it has the index after the keyed ones.
 const ORDER_TARGET: usize = 4;
 
@@ -45,13 +41,6 @@
     }
 }
 
-/// Restarts an entry in such a way that it reaches no target.
-fn restart_isolated(site: &mut Site, entry: usize) {
-    site.kill_entry(entry);
-    site.set_setting(entry, "source", json!(FOREIGN_ADDRESS));
-    site.start_entry(entry);
-}
-
 /// Makes a target for orders say that it leaves, and calls `send` until one of its answers has done so.
 async fn say_leaving(site: &Site, send: impl AsyncFn()) {
     let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
@@ -90,7 +79,7 @@
 async fn a_target_that_says_that_it_leaves_gets_nothing_more_through_another_entry() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
     let isolated = ENTRY_COUNT - 1;
-    restart_isolated(&mut site, isolated);
+    site.restart_isolated(isolated);
     site.wait_until_served(isolated, &SiteRequest::order()).await;
     site.store.set_fault(rows::Fault { silent: true, ..rows::Fault::default() });
     let send_one = async || {
@@ -199,7 +188,7 @@
     for case in cases {
         let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
         if case.is_one_isolated {
-            restart_isolated(&mut site, ENTRY_COUNT - 1);
+            site.restart_isolated(ENTRY_COUNT - 1);
             site.wait_until_served(ENTRY_COUNT - 1, &(case.request)(0)).await;
         }
         let fault =
