Explain a refusal by what targets said of themselves

An engineer who explained a request that was refused since its target had named a time to come back saw no reason: such a request makes no attempt, so no line of it names a target, and explain did not know the lines about notices and limits.

They are beliefs of their process now. A line that names a target brings its newest limit and notice; a refusal as rate-limited brings the notices that still held then, by the clock of the one process. Two cases of report::explain failed before (no belief was shown).

--- a/crates/report/src/explain.rs
+++ b/crates/report/src/explain.rs
@@ -31,7 +31,11 @@
 const ORDER_LOOKBACK_MS: u64 = 10_000;
 
 /// The kinds of lines that state a belief, each with the field that names its subject.
-const BELIEF_KINDS: [(&str, &str); 2] = [("belief", "subject"), ("target", "subject")];
+const BELIEF_KINDS: [(&str, &str); 4] =
+    [("belief", "subject"), ("target", "subject"), ("notice", "target"), ("limit", "target")];
+
+/// The kind of lines that state what a target said of itself, with the time for which it holds.
+const NOTICE_KIND: &str = "notice";
 
 /// The kinds of lines that state an action of a leader.
 const ORDER_KINDS: [&str; 2] = ["order", "plan"];
@@ -73,7 +77,8 @@
 #[derive(Debug, Default)]
 pub struct LogReader {
     explanation: Explanation,
-    beliefs: HashMap<String, BTreeMap<String, LogLine>>,
+    /// For each process, the newest belief of a kind about a subject.
+    beliefs: HashMap<String, BTreeMap<(String, &'static str), LogLine>>,
     orders: VecDeque<LogLine>,
 }
 
@@ -99,8 +104,9 @@
         self.explanation.left_out += left_out.unwrap_or(0);
         if line.fields.get("id").and_then(Value::as_str) == Some(&self.explanation.id) {
             self.record_request_line(line);
-        } else if let Some((_, field)) = BELIEF_KINDS.iter().find(|(kind, _)| *kind == line.kind) {
-            self.record_belief(line, field);
+        } else if let Some((kind, field)) = BELIEF_KINDS.iter().find(|(kind, _)| *kind == line.kind)
+        {
+            self.record_belief(line, kind, field);
         } else if ORDER_KINDS.contains(&line.kind.as_str()) {
             if self.orders.len() == MAX_ORDERS {
                 self.orders.pop_front();
@@ -112,9 +118,9 @@
     /// Replaces the belief of a process about the subject that `subject_field` names.
     ///
     /// A subject beyond the first [`MAX_BELIEFS_PER_PROCESS`] of a process is ignored.
-    fn record_belief(&mut self, line: LogLine, subject_field: &str) {
-        let subject =
-            line.fields.get(subject_field).and_then(Value::as_str).unwrap_or_default().to_owned();
+    fn record_belief(&mut self, line: LogLine, kind: &'static str, subject_field: &str) {
+        let subject = line.fields.get(subject_field).and_then(Value::as_str).unwrap_or_default();
+        let subject = (subject.to_owned(), kind);
         let beliefs = self.beliefs.entry(line.vm.clone()).or_default();
         if beliefs.len() < MAX_BELIEFS_PER_PROCESS || beliefs.contains_key(&subject) {
             beliefs.insert(subject, line);
@@ -129,10 +135,14 @@
         let Explanation { beliefs, lines, .. } = &mut self.explanation;
         if let Some(process_beliefs) = self.beliefs.get(&line.vm) {
             let named = ["target", "service"].map(|name| line.fields.get(name));
-            let named = named.into_iter().flatten().filter_map(Value::as_str);
-            let subjects = ["routing", "store", "lead"].into_iter().chain(named);
-            for belief in subjects.filter_map(|subject| process_beliefs.get(subject)) {
-                if !beliefs.contains(belief) {
+            let named: Vec<&str> = named.into_iter().flatten().filter_map(Value::as_str).collect();
+            let is_about = |subject: &str| {
+                ["routing", "store", "lead"].contains(&subject) || named.contains(&subject)
+            };
+            for ((subject, _), belief) in process_beliefs {
+                if (is_about(subject) || has_refused_for(&line, belief))
+                    && !beliefs.contains(belief)
+                {
                     beliefs.push(belief.clone());
                 }
             }
@@ -169,6 +179,15 @@
     Some(LogLine { vm, at_ms, kind, fields })
 }
 
+/// Returns true if a target wanted nothing when the process refused the request for lack of a target
+/// that takes it. Both lines are of one process, so that their clocks are one.
+fn has_refused_for(line: &LogLine, belief: &LogLine) -> bool {
+    let is_refused_for_rate =
+        line.fields.get("reason").and_then(Value::as_str) == Some("rate-limited");
+    let for_ms = belief.fields.get("for_ms").and_then(Value::as_u64).unwrap_or(0);
+    belief.kind == NOTICE_KIND && is_refused_for_rate && belief.at_ms + for_ms >= line.at_ms
+}
+
 fn has_same_target(line: &LogLine, order: &LogLine) -> bool {
     let target =
         |line: &LogLine| line.fields.get("target").and_then(Value::as_str).map(str::to_owned);
@@ -202,7 +221,10 @@
         "no-owner" => "a target that holds the key: see the orders about the key",
         "unreachable" => "a target of the service that can be reached",
         "overloaded" => "a target with room, or a retry within the budget",
-        "rate-limited" => "a target below the rate limit that it names: see the attempts",
+        "rate-limited" => {
+            "a target below the rate limit that it names, and that wants requests: see the attempts, \
+             limits and notices"
+        }
         "quarantined" => "a request that does not crash the targets that run it",
         "deadline" => "an answer before the caller's deadline or the route's timeout",
         "connection-lost" => "a connection that lasts until the answer",
--- a/crates/report/tests/explain.rs
+++ b/crates/report/tests/explain.rs
@@ -158,6 +158,34 @@
             unreadable: 0,
             conclusion: "Refused: rate-limited. It has not run and will not. Needed: a target below",
         },
+        Case {
+            name: "a target that named its limit",
+            lines: &[
+                r#"{"at_ms":5,"vm":"e1","kind":"limit","target":"t9","to":2.0,"source":"answer"}"#,
+                r#"{"at_ms":5,"vm":"e1","kind":"limit","target":"t8","to":2.0,"source":"answer"}"#,
+                r#"{"at_ms":6,"vm":"e1","kind":"attempt","id":"a1","target":"t9","result":"rate limited"}"#,
+                r#"{"at_ms":7,"vm":"e1","kind":"refused","id":"a1","key":4,"outcome":"not-run","reason":"rate-limited"}"#,
+            ],
+            request_lines: 2,
+            beliefs: 1,
+            orders: 0,
+            unreadable: 0,
+            conclusion: "Refused: rate-limited.",
+        },
+        Case {
+            name: "a target that wanted nothing, beside one that wants requests again",
+            lines: &[
+                r#"{"at_ms":1,"vm":"e1","kind":"notice","target":"t8","says":"come back later","for_ms":2000}"#,
+                r#"{"at_ms":900,"vm":"e2","kind":"notice","target":"t7","says":"come back later","for_ms":9000}"#,
+                r#"{"at_ms":1000,"vm":"e1","kind":"notice","target":"t9","says":"come back later","for_ms":2000}"#,
+                r#"{"at_ms":2500,"vm":"e1","kind":"refused","id":"a1","key":4,"outcome":"not-run","reason":"rate-limited"}"#,
+            ],
+            request_lines: 1,
+            beliefs: 1,
+            orders: 0,
+            unreadable: 0,
+            conclusion: "Refused: rate-limited.",
+        },
         Case {
             name: "an answer after the deadline",
             lines: &[
