Wrap comments at the width of the code

102 comments had lines of 101 to 113 characters; the formatter does not wrap comments. They are wrapped at 100, the width that rustfmt.toml gives. Only comment lines differ.

--- a/crates/conf/src/platform_settings.rs
+++ b/crates/conf/src/platform_settings.rs
@@ -31,8 +31,8 @@
     pub ready_listen: SocketAddr,
     /// The address for other entries.
     pub peer_listen: SocketAddr,
-    /// The address at which other entries that reach no target pass requests on to this one; without
-    /// one, it takes none.
+    /// The address at which other entries that reach no target pass requests on to this one;
+    /// without one, it takes none.
     #[serde(default)]
     pub relay_listen: Option<SocketAddr>,
     /// The address from which metrics are scraped.
--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -41,9 +41,9 @@
 /// The longest pause after a change of the table of entries.
 const MAX_ENTRIES_PAUSE: Duration = Duration::from_millis(2_000);
 
-/// The number of outages of the store that have ended, returns from a copy included. A long poll that
-/// was in flight during an outage may never be answered, so each change of this number makes the
-/// feeds poll again.
+/// The number of outages of the store that have ended, returns from a copy included. A long poll
+/// that was in flight during an outage may never be answered, so each change of this number makes
+/// the feeds poll again.
 pub(crate) type OutageCount = watch::Receiver<u64>;
 
 /// Waits for changes of a table, and polls again after an outage.
@@ -216,7 +216,8 @@
     }
 }
 
-/// Returns the earliest moment at which a change in an answer that has just arrived can have happened.
+/// Returns the earliest moment at which a change in an answer that has just arrived can have
+/// happened.
 fn earliest_change(staleness: &mut Staleness, rows: &Rows, sent_at: Tick) -> Tick {
     let received_at = Tick::now();
     let age = staleness.record(PollTiming { sent_at, received_at, store_clock: rows.clock });
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -30,8 +30,8 @@
     OperatorRows { rows: Rows, at: Tick },
     /// Another entry has answered with a newer routing configuration, or has none.
     RoutingFetched { routing: Option<Routing> },
-    /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read in
-    /// full. The moment counts whenever the input is handled.
+    /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read
+    /// in full. The moment counts whenever the input is handled.
     TargetRows { rows: Rows, complete: bool, changed_at: Tick },
     /// The registry could not be read.
     TargetsUnavailable,
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -1,8 +1,8 @@
 //! The messages between entries.
 //!
-//! An entry reports the load it has seen and the versions it knows; the reply carries the maps that are
-//! newer, and says which version of the routing configuration the leader has. No message grows with the
-//! routing configuration. Fields that an earlier release does not send have defaults.
+//! An entry reports the load it has seen and the versions it knows; the reply carries the maps that
+//! are newer, and says which version of the routing configuration the leader has. No message grows
+//! with the routing configuration. Fields that an earlier release does not send have defaults.
 
 use {
     crate::control::records::LeadershipRecord,
@@ -93,8 +93,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Report {
     pub(crate) vm: Vm,
-    /// The version of the routing configuration here. A leader that has an older one, such as from a
-    /// store that came back from a copy, fetches it.
+    /// The version of the routing configuration here. A leader that has an older one, such as from
+    /// a store that came back from a copy, fetches it.
     pub(crate) routing: Version,
     pub(crate) maps: Vec<MapVersion>,
     /// Whether the reply should include the registry: the entry cannot reach the store, or knows no
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -169,8 +169,8 @@
         self.client.post(to, REPORT_PATH, report).await.ok()
     }
 
-    /// Fetches the routing configuration from another entry; returns `None` if the call fails or the
-    /// entry has none that is newer than `known`.
+    /// Fetches the routing configuration from another entry; returns `None` if the call fails or
+    /// the entry has none that is newer than `known`.
     pub(crate) async fn fetch_routing(&self, from: SocketAddr, known: Version) -> Option<Routing> {
         let newer = self.transfer_client.post(from, ROUTING_PATH, &known).await;
         newer.ok().flatten()
--- a/crates/edge/src/control/records.rs
+++ b/crates/edge/src/control/records.rs
@@ -21,8 +21,8 @@
     pub(crate) address: SocketAddr,
     /// Grows with each change of the leader.
     pub(crate) term: u64,
-    /// The VMs of the leaders before, which may renew grants until they say that they do not; earlier
-    /// releases name none.
+    /// The VMs of the leaders before, which may renew grants until they say that they do not;
+    /// earlier releases name none.
     #[serde(default)]
     pub(crate) former: Option<Vec<Vm>>,
     /// The era of the store in which the record was written; earlier releases state none.
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -240,8 +240,8 @@
         self.is_store_unavailable(now) || self.registry.is_empty()
     }
 
-    /// Returns true if this entry may replace a leader that resigns, and that does not reach a share
-    /// of the targets if it resigns for that.
+    /// Returns true if this entry may replace a leader that resigns, and that does not reach a
+    /// share of the targets if it resigns for that.
     fn may_succeed(&self, leader_unreached_percent: Option<u8>) -> bool {
         leader_unreached_percent
             .is_none_or(|percent| is_better_placed(self.shared.unreached_percent(), percent))
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -1,9 +1,9 @@
 //! The work of the leader: planning who holds which keys.
 //!
 //! The planners of crate `hold` decide, and module `ordering` carries out what they decide. The
-//! leader acts only under the leadership lease, which a full read of the rows extends. All calls run
-//! as tasks of the control thread and report through its input queue, so no slow target or store
-//! delays the others.
+//! leader acts only under the leadership lease, which a full read of the rows extends. All calls
+//! run as tasks of the control thread and report through its input queue, so no slow target or
+//! store delays the others.
 
 use {
     super::{State, recovery::Recovery},
@@ -33,9 +33,9 @@
 /// still be renewing.
 pub(super) const LEADERSHIP_LEASE: Duration = Duration::from_secs(15);
 
-/// The time after the store last confirmed the leadership within which grants go over new connections.
-/// Later a successor may have granted keys to the target, and the target may have restarted: it then
-/// does not remember the successor's fences.
+/// The time after the store last confirmed the leadership within which grants go over new
+/// connections. Later a successor may have granted keys to the target, and the target may have
+/// restarted: it then does not remember the successor's fences.
 pub(super) const CONNECT_LEASE: Duration = Duration::from_millis(800);
 
 /// The time between two reads by which the leader confirms its leadership.
@@ -102,8 +102,8 @@
 }
 
 impl Leadership {
-    /// Drops the planners, whose ledgers lack the grants of another leader. That leader is not among
-    /// the former ones that this process knew when it took over.
+    /// Drops the planners, whose ledgers lack the grants of another leader. That leader is not
+    /// among the former ones that this process knew when it took over.
     pub(super) fn start_over(&mut self, now: Tick) {
         self.planners.clear();
         self.started_at = now;
@@ -189,8 +189,8 @@
         }
     }
 
-    /// Records that a former leader renews no grants any more. Once that is true of all of them, keys
-    /// of lost targets need not wait for the end of their leases.
+    /// Records that a former leader renews no grants any more. Once that is true of all of them,
+    /// keys of lost targets need not wait for the end of their leases.
     pub(super) fn confirm_former_leader(&mut self, vm: &Vm, now: Tick) {
         let Some(leadership) = &mut self.leadership else { return };
         let Some(unconfirmed) = &mut leadership.unconfirmed_leaders else { return };
@@ -229,8 +229,8 @@
 
     /// Runs the periodic work of the leader: counts the entries, confirms the leadership and plans.
     pub(super) fn run_leader(&mut self, now: Tick) {
-        // An earlier process of this VM has ended, and an earlier leadership of this process with its
-        // last batch.
+        // An earlier process of this VM has ended, and an earlier leadership of this process with
+        // its last batch.
         if self.grant_batches == 0 {
             let own_vm = self.me.vm.clone();
             self.confirm_former_leader(&own_vm, now);
--- a/crates/edge/src/control/state/recovery.rs
+++ b/crates/edge/src/control/state/recovery.rs
@@ -61,8 +61,8 @@
         }
     }
 
-    /// Returns true if the leader may order something: no key can be held under a grant that it does
-    /// not know of. If the maps are of an earlier era, it first asks the other entries.
+    /// Returns true if the leader may order something: no key can be held under a grant that it
+    /// does not know of. If the maps are of an earlier era, it first asks the other entries.
     pub(super) fn has_recovered(&mut self, now: Tick) -> bool {
         let era = self.leadership_version.era();
         let is_keyed = |service: &Service| {
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -41,8 +41,8 @@
         }
     }
 
-    /// Returns true if another entry reaches far more targets than this one, the leader. Targets that
-    /// nobody reaches make no difference.
+    /// Returns true if another entry reaches far more targets than this one, the leader. Targets
+    /// that nobody reaches make no difference.
     fn should_yield(&self, unreached_percent: u8, now: Tick) -> bool {
         let Some(leadership) = &self.leadership else { return false };
         let recent = leadership.last_reports.values();
--- a/crates/edge/src/control/state/routes.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -81,8 +81,8 @@
         self.shared.freshness.set(self.routing.in_force_at(), behind_since);
     }
 
-    /// Fetches a newer routing configuration from another entry, if this process has been behind for
-    /// long enough.
+    /// Fetches a newer routing configuration from another entry, if this process has been behind
+    /// for long enough.
     pub(super) fn fetch_routing(&mut self, now: Tick) {
         self.routing.expire(now);
         self.publish_routing_state();
@@ -97,8 +97,8 @@
         });
     }
 
-    /// Returns the entry to fetch from: one of the most powerful entries and the one that is known to
-    /// have the version take turns, since many entries may be behind at once.
+    /// Returns the entry to fetch from: one of the most powerful entries and the one that is known
+    /// to have the version take turns, since many entries may be behind at once.
     fn routing_source(&self, newer: Newer, attempt: usize) -> SocketAddr {
         let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
         let strongest = others.clone().map(|(_, member)| member.power).fold(0.0, f64::max);
--- a/crates/edge/src/freshness.rs
+++ b/crates/edge/src/freshness.rs
@@ -21,8 +21,8 @@
 }
 
 impl Freshness {
-    /// Records the latest moment at which the configuration was in force, and since when a newer one
-    /// is known.
+    /// Records the latest moment at which the configuration was in force, and since when a newer
+    /// one is known.
     pub(crate) fn set(&self, in_force_at: Option<Tick>, behind_since: Option<Tick>) {
         let micros = |at: Option<Tick>| at.map_or(0, Tick::as_micros);
         self.confirmed_at.store(micros(in_force_at), Ordering::Relaxed);
@@ -39,8 +39,8 @@
         at != 0 && now.before(limit).as_micros() <= at
     }
 
-    /// Returns true if the configuration allows this entry to take new callers: it has been in force
-    /// since the start of the process, and has not been known to be outdated for `limit`.
+    /// Returns true if the configuration allows this entry to take new callers: it has been in
+    /// force since the start of the process, and has not been known to be outdated for `limit`.
     ///
     /// An entry that hears nothing stays ready, so that a zone that is cut off goes on serving.
     pub(crate) fn allows_callers(&self, limit: Duration, now: Tick) -> bool {
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -19,8 +19,8 @@
 /// The path of the call with which entries ask for a permit.
 pub(crate) const PATH: &str = "/permit";
 
-/// The shortest and the longest time that a coordinator may take to answer. In between it is the time
-/// for which the request can wait for its permit.
+/// The shortest and the longest time that a coordinator may take to answer. In between it is the
+/// time for which the request can wait for its permit.
 const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(80);
 const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -71,8 +71,8 @@
 }
 
 impl Shared {
-    /// Returns the state of a process that has just started; `permit_client` is the client with which
-    /// it asks other entries for permits.
+    /// Returns the state of a process that has just started; `permit_client` is the client with
+    /// which it asks other entries for permits.
     pub(crate) fn new(
         settings: PlatformSettings,
         journal: Journal,
--- a/crates/edge/src/traffic/admission.rs
+++ b/crates/edge/src/traffic/admission.rs
@@ -89,8 +89,8 @@
     Ok(AdmittedRequest { origin, route, service, keyed, key, fingerprint, call, arrived_at, id })
 }
 
-/// Finds the route of a request. Without one, the request is refused for good only while the routing
-/// configuration is known to be in force.
+/// Finds the route of a request. Without one, the request is refused for good only while the
+/// routing configuration is known to be in force.
 fn find_route<'a>(
     shared: &Shared,
     routing: &'a Routing,
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -24,8 +24,8 @@
     tokio::time,
 };
 
-/// The largest response body of known length that is buffered before it is passed on, in bytes. If a
-/// buffered one breaks off, another attempt can replace it.
+/// The largest response body of known length that is buffered before it is passed on, in bytes. If
+/// a buffered one breaks off, another attempt can replace it.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 1 << 20;
 
 /// The size up to which a response body of unknown length is buffered, in bytes; a longer one may
@@ -97,7 +97,8 @@
     },
 }
 
-/// Makes one attempt: sends the request to a target, or to another entry, and receives the response.
+/// Makes one attempt: sends the request to a target, or to another entry, and receives the
+/// response.
 /// `is_repeated` says that the same one got the request before.
 pub(crate) async fn send(
     shared: &Arc<Shared>,
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -32,19 +32,20 @@
     tokio::time,
 };
 
-/// The longest time before a waiting request looks for a target again; a new snapshot ends it early.
+/// The longest time before a waiting request looks for a target again; a new snapshot ends it
+/// early.
 const TARGET_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The number of denials by targets that don't hold the key, or are not the expected instance, after
-/// which a request is refused.
+/// The number of denials by targets that don't hold the key, or are not the expected instance,
+/// after which a request is refused.
 const MAX_MISDIRECTIONS: u32 = 2;
 
 /// The fraction of the fleet's retry budget that the entries use; the rest allows for retries that
 /// they cannot count.
 const RETRY_BUDGET_FRACTION: f64 = 0.75;
 
-/// The share of the other targets that are not reached, in percent, from which a refused connection proves no
-/// crash.
+/// The share of the other targets that are not reached, in percent, from which a refused connection
+/// proves no crash.
 const MAX_CREDIBLE_UNREACHED_PERCENT: u8 = 40;
 
 /// The journal line about a target that refuses connections after it was lost with a request.
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -73,8 +73,8 @@
         times?.into_iter().min()
     }
 
-    /// Returns a random delay for the return of a refused caller, longer with a lower priority, so that
-    /// callers do not come back all at once.
+    /// Returns a random delay for the return of a refused caller, longer with a lower priority, so
+    /// that callers do not come back all at once.
     fn spread(&self) -> Duration {
         let rank = f64::from(self.admitted.route.priority.min(MAX_SPREAD_RANK) + 1);
         RETURN_SPREAD.mul_f64(rank * rand::random::<f64>())
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -31,8 +31,8 @@
 }
 
 /// Returns the target with the lowest expected cost among a few drawn at random. Targets in `tried`
-/// and those in a back-off are drawn only if there are no others, unreachable ones only if all are. A
-/// target with a rate limit that has not been heard for a while goes first, since only an answer
+/// and those in a back-off are drawn only if there are no others, unreachable ones only if all are.
+/// A target with a rate limit that has not been heard for a while goes first, since only an answer
 /// shows that its limit is over.
 pub(crate) fn choose_unkeyed(
     shared: &Shared,
@@ -66,7 +66,8 @@
     if candidates.is_empty() {
         candidates = admitting(ready).collect();
     }
-    // Targets that leave by their own word are no longer among `ready` once the control thread knows.
+    // Targets that leave by their own word are no longer among `ready` once the control thread
+    // knows.
     candidates.retain(|target| !target.condition.is_closed());
     let compared = COMPARED_TARGETS.min(candidates.len());
     for index in 0..compared {
--- a/crates/edge/src/traffic/condition.rs
+++ b/crates/edge/src/traffic/condition.rs
@@ -85,8 +85,8 @@
         !self.ended.swap(true, Ordering::Relaxed)
     }
 
-    /// Keeps requests away from the target for a while, such as from an entry that reaches no target
-    /// itself.
+    /// Keeps requests away from the target for a while, such as from an entry that reaches no
+    /// target itself.
     pub(crate) fn avoid_for(&self, span: Duration) {
         *lock(&self.unreachable_until) = Some(Instant::now() + span);
     }
@@ -149,15 +149,16 @@
         closes_at_us != NEVER_CLOSES_US && Tick::now().as_micros() >= closes_at_us
     }
 
-    /// Records that the target said that it leaves and takes no requests from `leaves_at` on. Returns
-    /// true if that is new; a later word changes nothing.
+    /// Records that the target said that it leaves and takes no requests from `leaves_at` on.
+    /// Returns true if that is new; a later word changes nothing.
     pub(crate) fn record_leaving(&self, leaves_at: Tick) -> bool {
         let (new, known) = (leaves_at.as_micros(), NEVER_CLOSES_US);
         let order = Ordering::Relaxed;
         self.leaves_at_us.compare_exchange(known, new, order, order).is_ok()
     }
 
-    /// Records that the target wants nothing for `span`. Returns true if it wanted something before.
+    /// Records that the target wants nothing for `span`. Returns true if it wanted something
+    /// before.
     pub(crate) fn record_deferral(&self, span: Duration) -> bool {
         lock(&self.backpressure).record_deferral(span, Instant::now())
     }
@@ -172,8 +173,8 @@
         lock(&self.backpressure).deferred_for(Instant::now())
     }
 
-    /// Returns what the target takes besides `others` that are in flight. `is_over_limit` says that it
-    /// has no permit left under its rate limit.
+    /// Returns what the target takes besides `others` that are in flight. `is_over_limit` says that
+    /// it has no permit left under its rate limit.
     pub(crate) fn intake(&self, others: usize, is_over_limit: bool) -> Intake {
         lock(&self.backpressure).intake(others, is_over_limit, Instant::now())
     }
--- a/crates/edge/src/traffic/handle.rs
+++ b/crates/edge/src/traffic/handle.rs
@@ -1,7 +1,7 @@
 //! Handling one request of a caller, from its arrival to the response or refusal.
 //!
-//! A request is admitted (module [`admission`](super::admission)), then its attempts are made (module
-//! [`attempts`](super::attempts)), and what came of them is counted and logged.
+//! A request is admitted (module [`admission`](super::admission)), then its attempts are made
+//! (module [`attempts`](super::attempts)), and what came of them is counted and logged.
 
 use {
     crate::{
--- a/crates/edge/src/traffic/notice.rs
+++ b/crates/edge/src/traffic/notice.rs
@@ -19,8 +19,8 @@
     for_ms: u64,
 }
 
-/// Records the notice of a target: what is new in it binds the data path at once. The control thread
-/// tells other entries that the target leaves, and the leader for how long it wants nothing.
+/// Records the notice of a target: what is new in it binds the data path at once. The control
+/// thread tells other entries that the target leaves, and the leader for how long it wants nothing.
 pub(crate) fn record(shared: &Shared, target: &Target, notice: Notice) {
     let now = Tick::now();
     let leaving_span = shared.leaving_span();
--- a/crates/edge/src/traffic/refusal.rs
+++ b/crates/edge/src/traffic/refusal.rs
@@ -38,7 +38,8 @@
 }
 
 /// Returns the response to a refused request; `remaining` is the time that its caller has left, and
-/// bounds `Retry-After`. `due_in` is the time after which the request can be served, if it is known.
+/// bounds `Retry-After`. `due_in` is the time after which the request can be served, if it is
+/// known.
 pub(crate) fn response(
     refusal: Refusal,
     due_in: Option<Duration>,
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -1,14 +1,14 @@
 //! Passing requests on through another entry.
 //!
-//! An entry that has lost its links to the targets is still reached by callers, and the other entries
-//! reach the targets. It passes a request on to one of them, at a listener that only entries know,
-//! with the time that is left and the number of attempts made. The other entry makes the attempts by
-//! its own configuration and passes nothing on further. It answers with the target's response or with
-//! a refusal that names its reason, so that a request that met an isolated entry there, too, can go to
-//! another one.
+//! An entry that has lost its links to the targets is still reached by callers, and the other
+//! entries reach the targets. It passes a request on to one of them, at a listener that only
+//! entries know, with the time that is left and the number of attempts made. The other entry makes
+//! the attempts by its own configuration and passes nothing on further. It answers with the
+//! target's response or with a refusal that names its reason, so that a request that met an
+//! isolated entry there, too, can go to another one.
 //!
-//! Weighed: leaving the load balancer, which keeps open connections and uses unready entries again if
-//! most of a zone's are unready.
+//! Weighed: leaving the load balancer, which keeps open connections and uses unready entries again
+//! if most of a zone's are unready.
 
 use {
     crate::{
--- a/crates/entry/src/traffic/body.rs
+++ b/crates/entry/src/traffic/body.rs
@@ -82,7 +82,8 @@
         Poll::Ready(Some(Err(Error::Stalled(self.stall_timeout))))
     }
 
-    /// Records the request as served and releases the connection, since the response was read whole.
+    /// Records the request as served and releases the connection, since the response was read
+    /// whole.
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.tracker.record_served();
--- a/crates/entry/src/traffic/target.rs
+++ b/crates/entry/src/traffic/target.rs
@@ -214,8 +214,8 @@
 
     /// Probes the target; returns true if the run with this incarnation has ended.
     ///
-    /// That is concluded if no connection can be opened or another incarnation responds. A process that
-    /// is ending may still accept connections and close them, so a probe without a response is
+    /// That is concluded if no connection can be opened or another incarnation responds. A process
+    /// that is ending may still accept connections and close them, so a probe without a response is
     /// repeated, until [`PROBE_TIMEOUT`].
     pub(crate) async fn probe_ended(&self, client: &wire::Client, incarnation_before: u64) -> bool {
         let probes = async {
--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -15,8 +15,8 @@
 /// The difference in utilisation below which no keys are reassigned, unless the recipient has none.
 const MIN_UTILISATION_GAP: f64 = 0.3;
 
-/// The same difference for a donor that gets more requests than its rate limit allows, some of which
-/// are refused until keys are reassigned.
+/// The same difference for a donor that gets more requests than its rate limit allows, some of
+/// which are refused until keys are reassigned.
 const MIN_OVER_LIMIT_GAP: f64 = 0.1;
 
 /// The utilisation from which a target with a rate limit counts as over it: arrivals vary, so that
@@ -36,8 +36,8 @@
 /// one more span.
 const INNER_PART_WEIGHT: f64 = 0.8;
 
-/// The shortest deferral for which keys are reassigned. After a shorter one the target would soon get
-/// them back.
+/// The shortest deferral for which keys are reassigned. After a shorter one the target would soon
+/// get them back.
 const MIN_DEFERRAL: Duration = Duration::from_secs(2);
 
 /// The utilisation of a target without room.
@@ -108,8 +108,8 @@
         self.rate_limits = rate_limits;
     }
 
-    /// Records that a target wants no requests for `span`. Until then it counts as one without room,
-    /// unless the span is short.
+    /// Records that a target wants no requests for `span`. Until then it counts as one without
+    /// room, unless the span is short.
     pub fn record_deferral(&mut self, instance: &Instance, span: Duration, now: Tick) {
         if span < MIN_DEFERRAL {
             return;
--- a/crates/hold/src/election.rs
+++ b/crates/hold/src/election.rs
@@ -35,8 +35,8 @@
 /// How many percent more of the targets an entry has to reach to lead in place of another one.
 const REACH_MARGIN_PERCENT: u8 = 25;
 
-/// Returns true if an entry that does not reach a share of the targets should lead in place of one that
-/// does not reach `leader_percent` of them. Targets that neither reaches make no difference.
+/// Returns true if an entry that does not reach a share of the targets should lead in place of one
+/// that does not reach `leader_percent` of them. Targets that neither reaches make no difference.
 #[must_use]
 pub const fn is_better_placed(unreached_percent: u8, leader_percent: u8) -> bool {
     unreached_percent.saturating_add(REACH_MARGIN_PERCENT) <= leader_percent
@@ -109,8 +109,8 @@
         self.is_leader_resigning = false;
     }
 
-    /// Records that the leader answered and asks to be replaced by an entry such as this one. The time
-    /// until this entry campaigns counts from the first such answer, since the others go on.
+    /// Records that the leader answered and asks to be replaced by an entry such as this one. The
+    /// time until this entry campaigns counts from the first such answer, since the others go on.
     pub const fn record_resignation(&mut self, now: Tick) {
         if !self.is_leader_resigning {
             self.record_heartbeat(now);
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -7,8 +7,8 @@
     thiserror::Error as Derive,
 };
 
-/// The size of a row up to which spans are split, in bytes. The platform's store accepts 65,536; the
-/// rest is left to reassignments that cannot wait, such as those of a lost target.
+/// The size of a row up to which spans are split, in bytes. The platform's store accepts 65,536;
+/// the rest is left to reassignments that cannot wait, such as those of a lost target.
 const MAX_ROW_BYTES: usize = 60_000;
 
 /// The size that one holder takes in a row at most, in bytes.
@@ -145,8 +145,8 @@
     map: Map,
 }
 
-/// Returns the stored form of a fence: without the era if it is that of the row, which saves a third
-/// of the row.
+/// Returns the stored form of a fence: without the era if it is that of the row, which saves a
+/// third of the row.
 fn shorten_fence(fence: Fence, era: Era) -> Fence {
     let version = Version::from(fence.get());
     if version.era() == era { Fence::from(version.number()) } else { fence }
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -380,9 +380,9 @@
         }
     }
 
-    /// Records the row as it was read, with the version that it has in the store; `None` if there is
-    /// no row. A row that is older than the known map changes nothing. It is written again, and so
-    /// is one of an earlier era, which tells later leaders that it is as new as any.
+    /// Records the row as it was read, with the version that it has in the store; `None` if there
+    /// is no row. A row that is older than the known map changes nothing. It is written again, and
+    /// so is one of an earlier era, which tells later leaders that it is as new as any.
     pub fn record_row(&mut self, row: Option<(Map, Version)>) {
         if self.pending_write.is_some() {
             return;
--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -50,8 +50,9 @@
         actions
     }
 
-    /// Returns true if a holder is gone from the registry and does not answer. Each further grant might
-    /// take effect although its answer is lost, so that its keys could never be assigned to others.
+    /// Returns true if a holder is gone from the registry and does not answer. Each further grant
+    /// might take effect although its answer is lost, so that its keys could never be assigned to
+    /// others.
     fn is_given_up(&self, registry: &Registry, holder: &Holder, now: Tick) -> bool {
         let is_gone = match registry.get(&holder.instance.vm) {
             Some(target) => {
--- a/crates/hold/src/routing.rs
+++ b/crates/hold/src/routing.rs
@@ -5,8 +5,8 @@
 //! receiver is too slow to answer in time. So an entry that is behind fetches the configuration
 //! itself, once at a time, from one entry that has it.
 //!
-//! A replica is in force as long as no newer version is known and the store, directly or through the
-//! leader, has confirmed a short time ago that there is none.
+//! A replica is in force as long as no newer version is known and the store, directly or through
+//! the leader, has confirmed a short time ago that there is none.
 
 use {
     conf::routing::Routing,
@@ -14,15 +14,15 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// The time that this process's own long poll has to bring a newer version before it is fetched from
-/// another entry.
+/// The time that this process's own long poll has to bring a newer version before it is fetched
+/// from another entry.
 const FETCH_DELAY: Duration = Duration::from_millis(700);
 
 /// The time between two attempts to fetch.
 const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The time without a message that names it after which a newer version is forgotten: the entries that
-/// had it may have ended.
+/// The time without a message that names it after which a newer version is forgotten: the entries
+/// that had it may have ended.
 const NEWER_RETENTION: Duration = Duration::from_secs(5);
 
 /// A newer version that another entry has.
@@ -113,8 +113,8 @@
     }
 
     /// Starts a fetch if one is due, and returns the newer version and the number of fetches before
-    /// this one. Without a configuration, or while the store is unavailable and no long poll can bring
-    /// the version, none is waited for.
+    /// this one. Without a configuration, or while the store is unavailable and no long poll can
+    /// bring the version, none is waited for.
     pub fn start_fetch(&mut self, store_available: bool, now: Tick) -> Option<(Newer, usize)> {
         let newer = self.newer?;
         let may_wait = store_available && self.routing.is_some();
--- a/crates/hold/tests/election.rs
+++ b/crates/hold/tests/election.rs
@@ -157,8 +157,8 @@
     assert!(election.is_leader_unresponsive(start.plus(Duration::from_millis(2_500))));
 }
 
-/// A leader that resigned answered its reports all the same, and each answer put off the campaigns of
-/// entries with lower ranks.
+/// A leader that resigned answered its reports all the same, and each answer put off the campaigns
+/// of entries with lower ranks.
 #[test]
 fn an_entry_of_low_rank_replaces_a_leader_that_resigns_and_answers() {
     const REPORT_INTERVAL_MS: u64 = 250;
@@ -191,7 +191,8 @@
         Self { elections, leader: 0, takeovers: 0 }
     }
 
-    /// Runs for a second from `start_ms` on: every entry reports each 250 ms, and campaigns by rank.
+    /// Runs for a second from `start_ms` on: every entry reports each 250 ms, and campaigns by
+    /// rank.
     fn run(&mut self, start_ms: u64, unreached_percents: &[u8]) {
         for now_ms in (start_ms..start_ms + 1_000).step_by(50) {
             let now = tick_at_ms(now_ms);
--- a/crates/hold/tests/map.rs
+++ b/crates/hold/tests/map.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// A new leader, which gives every key a new fence first, sent the whole map to every entry and filled
-/// its link for seconds.
+/// A new leader, which gives every key a new fence first, sent the whole map to every entry and
+/// filled its link for seconds.
 #[test]
 fn the_first_map_of_a_new_leader_is_told_in_a_few_bytes() {
     const TARGETS: u16 = 264;
--- a/crates/hold/tests/routing.rs
+++ b/crates/hold/tests/routing.rs
@@ -1,5 +1,5 @@
-//! When a replica of the routing configuration is in force, and when a newer one is fetched, in virtual
-//! time.
+//! When a replica of the routing configuration is in force, and when a newer one is fetched, in
+//! virtual time.
 
 use {
     conf::routing::{Limits, Routing},
--- a/crates/key/src/id.rs
+++ b/crates/key/src/id.rs
@@ -90,8 +90,8 @@
     Incarnation, u64
 );
 
-/// The distance between the first versions of two eras. It is a power of ten, so that both parts can
-/// be read in a log.
+/// The distance between the first versions of two eras. It is a power of ten, so that both parts
+/// can be read in a log.
 const VERSIONS_PER_ERA: u64 = 1_000_000_000_000;
 
 /// The number of eras that fit into a version. Versions stay below 2^53, since a fencing token is
--- a/crates/own/src/failover.rs
+++ b/crates/own/src/failover.rs
@@ -104,7 +104,8 @@
     has_listened && all_unresponsive() && view.live_processes_in(&row.name.zone, now).is_empty()
 }
 
-/// Returns the rows that transfer the shards chosen by `is_transferred` to other cells, without owners.
+/// Returns the rows that transfer the shards chosen by `is_transferred` to other cells, without
+/// owners.
 ///
 /// The result is the row of the source, the rows of the receivers, and the number of shards that
 /// each receiver gets.
--- a/crates/own/src/node/fleet.rs
+++ b/crates/own/src/node/fleet.rs
@@ -166,8 +166,8 @@
 
     /// Records a heartbeat that arrived over a connection to the peer's own address.
     ///
-    /// A heartbeat is discarded if another process of the VM has answered since it was requested, or
-    /// if its process is known to have ended.
+    /// A heartbeat is discarded if another process of the VM has answered since it was requested,
+    /// or if its process is known to have ended.
     pub(crate) fn record_heartbeat(&mut self, peer: Peer, asked_at: Tick, now: Tick) {
         let vm = peer.process.vm.clone();
         let known = self.peers.get(&vm);
--- a/crates/own/src/renewer.rs
+++ b/crates/own/src/renewer.rs
@@ -92,7 +92,8 @@
 
     /// Emits the grants that are due.
     ///
-    /// A target for which `must_not_renew` returns true gets no lease; the grant only reads its clock.
+    /// A target for which `must_not_renew` returns true gets no lease; the grant only reads its
+    /// clock.
     pub(crate) fn renew(
         &mut self,
         now: Tick,
--- a/crates/own/src/session.rs
+++ b/crates/own/src/session.rs
@@ -55,8 +55,8 @@
     pub(crate) acknowledged_digest: Option<u64>,
     pub(crate) liveness: Liveness,
     pub(crate) leaving: bool,
-    /// The sequence number in the stamps of the next grants, which orders changes of the lease under
-    /// the same row.
+    /// The sequence number in the stamps of the next grants, which orders changes of the lease
+    /// under the same row.
     pub(crate) seq: u64,
     pub(crate) revocation: Option<Revocation>,
 }
--- a/crates/report/src/explain.rs
+++ b/crates/report/src/explain.rs
@@ -179,8 +179,8 @@
     Some(LogLine { vm, at_ms, kind, fields })
 }
 
-/// Returns true if a target wanted nothing when the process refused the request for lack of a target
-/// that takes it. Both lines are of one process, so that their clocks are one.
+/// Returns true if a target wanted nothing when the process refused the request for lack of a
+/// target that takes it. Both lines are of one process, so that their clocks are one.
 fn has_refused_for(line: &LogLine, belief: &LogLine) -> bool {
     let is_refused_for_rate =
         line.fields.get("reason").and_then(Value::as_str) == Some("rate-limited");
--- a/crates/route/src/backpressure.rs
+++ b/crates/route/src/backpressure.rs
@@ -1,9 +1,9 @@
 //! What a target takes now, by its own answers.
 //!
 //! A target that turns a request away may say when to come back. Until then it gets nothing. After
-//! that a single request finds out whether it takes work again: all callers that waited would meet it
-//! at once otherwise. A target that turned a request away without a time, or that has no permit left
-//! under its rate limit, gets requests only if no other target takes them.
+//! that a single request finds out whether it takes work again: all callers that waited would meet
+//! it at once otherwise. A target that turned a request away without a time, or that has no permit
+//! left under its rate limit, gets requests only if no other target takes them.
 
 use std::time::{Duration, Instant};
 
@@ -70,8 +70,8 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Returns what the target takes while `others` are in flight. `is_over_limit` says that it has no
-    /// permit left under its rate limit.
+    /// Returns what the target takes while `others` are in flight. `is_over_limit` says that it has
+    /// no permit left under its rate limit.
     #[must_use]
     pub fn intake(&self, others: usize, is_over_limit: bool, now: Instant) -> Intake {
         let has_shed = self.shed_at.is_some_and(|at| now.duration_since(at) < SHED_BACKOFF);
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -5,10 +5,10 @@
 //! retries cannot crash one target after another.
 //!
 //! Entries share their crash reports, because retries of one request can arrive at different
-//! entries. An entry of the crate `entry` sends its report to all peers and waits for their replies,
-//! up to a time limit, before it sends a retry. An entry of the crate `edge` queues its report for
-//! its next exchange with the leader and does not wait, so until the report has spread the other
-//! entries do not refuse the request.
+//! entries. An entry of the crate `entry` sends its report to all peers and waits for their
+//! replies, up to a time limit, before it sends a retry. An entry of the crate `edge` queues its
+//! report for its next exchange with the leader and does not wait, so until the report has spread
+//! the other entries do not refuse the request.
 
 use {
     serde::{Deserialize, Serialize},
--- a/crates/route/src/reach.rs
+++ b/crates/route/src/reach.rs
@@ -1,9 +1,9 @@
 //! Whether this entry reaches the targets, from what its own connections show.
 //!
 //! One target that cannot be reached may be down. If connections to several targets fail and none
-//! succeeds, the fault is at this entry or its links: it is isolated. It then says nothing of targets
-//! to others, passes its requests on through another entry, and tries a target now and then until
-//! connections succeed again.
+//! succeeds, the fault is at this entry or its links: it is isolated. It then says nothing of
+//! targets to others, passes its requests on through another entry, and tries a target now and then
+//! until connections succeed again.
 
 use std::{
     collections::HashMap,
@@ -81,8 +81,8 @@
         self.unreached_share(|_| true, now)
     }
 
-    /// Returns the share of the other targets that are not reached, in percent; zero if too few were
-    /// tried. It tells whether the links are at fault for the failure of this one.
+    /// Returns the share of the other targets that are not reached, in percent; zero if too few
+    /// were tried. It tells whether the links are at fault for the failure of this one.
     #[must_use]
     pub fn unreached_percent_besides(&self, target: &T, now: Instant) -> u8 {
         self.unreached_share(|other| other != target, now)
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -16,8 +16,8 @@
 /// What is wrong with the responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// The first request on a connection is refused as not run; each later one runs, and is answered
-    /// by that refusal once more.
+    /// The first request on a connection is refused as not run; each later one runs, and is
+    /// answered by that refusal once more.
     RepeatedRefusal,
     /// The connection closes after so many lines of the head.
     CutHead(usize),
@@ -65,7 +65,8 @@
         self.seen().run.contains(id)
     }
 
-    /// Returns how many connections were closed, and how many reset, while a request had no response.
+    /// Returns how many connections were closed, and how many reset, while a request had no
+    /// response.
     #[must_use]
     pub fn abandoned_counts(&self) -> (usize, usize) {
         let seen = self.seen();
--- a/crates/standin/src/holder.rs
+++ b/crates/standin/src/holder.rs
@@ -79,8 +79,8 @@
     pub slow_ms: u64,
     /// Whether each response says that the target is leaving, whatever its registration says.
     pub says_leaving: bool,
-    /// The time, in seconds, after which each refusal of a shed request tells the caller to come back;
-    /// zero tells none.
+    /// The time, in seconds, after which each refusal of a shed request tells the caller to come
+    /// back; zero tells none.
     pub retry_after_s: u32,
     /// The rate limit that each response to a request names, in requests per second over all
     /// entries; zero names none. The target only names the limit and runs what arrives.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -30,8 +30,8 @@
         Self { address, timeout: DEFAULT_TIMEOUT, source: None }
     }
 
-    /// Sets the timeout of one request until the head of the response, and then for each further part
-    /// of it: a scan is as large as the table.
+    /// Sets the timeout of one request until the head of the response, and then for each further
+    /// part of it: a scan is as large as the table.
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
--- a/crates/trial/src/bin/measure/slopes.rs
+++ b/crates/trial/src/bin/measure/slopes.rs
@@ -1,4 +1,5 @@
-//! Measures how costs grow with the size of a fleet; `docs/CAPACITY.md` is derived from these slopes.
+//! Measures how costs grow with the size of a fleet; `docs/CAPACITY.md` is derived from these
+//! slopes.
 
 use {
     crate::{ALLOCATOR, stats},
@@ -98,8 +99,8 @@
     node
 }
 
-/// Drives the decisions of a primary in virtual time, with targets that apply and answer every grant
-/// and a table that commits every write.
+/// Drives the decisions of a primary in virtual time, with targets that apply and answer every
+/// grant and a table that commits every write.
 struct Driver {
     node: Node,
     now: Tick,
--- a/crates/trial/src/inspect.rs
+++ b/crates/trial/src/inspect.rs
@@ -68,8 +68,8 @@
             .is_ok()
     }
 
-    /// Replaces version `base` of the operators' configuration through an entry, and returns the new
-    /// version.
+    /// Replaces version `base` of the operators' configuration through an entry, and returns the
+    /// new version.
     ///
     /// # Errors
     ///
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -7,8 +7,8 @@
 
 /// The composition of a [`Fleet`](crate::Fleet).
 ///
-/// Every fleet has three services: the keyed service [`KEYED`], `orders`, whose requests must run at
-/// most once, and `voices`, which serves downloads.
+/// Every fleet has three services: the keyed service [`KEYED`], `orders`, whose requests must run
+/// at most once, and `voices`, which serves downloads.
 #[derive(Clone, Debug)]
 pub struct FleetPlan {
     /// The number of availability zones.
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -50,8 +50,8 @@
     pub unkeyed_targets: usize,
     /// How long a grant is valid, in milliseconds.
     pub grant_duration_ms: u64,
-    /// Whether targets register the address of a proxy. It accepts connections also while the target
-    /// does not run.
+    /// Whether targets register the address of a proxy. It accepts connections also while the
+    /// target does not run.
     pub proxied: bool,
 }
 
@@ -140,8 +140,8 @@
         self.store.write_row("op", "config", routing.to_string().as_bytes());
     }
 
-    /// Writes a version of the routing configuration that has `filler` routes more, which no request
-    /// uses.
+    /// Writes a version of the routing configuration that has `filler` routes more, which no
+    /// request uses.
     ///
     /// # Panics
     ///
--- a/crates/trial/src/site/targets.rs
+++ b/crates/trial/src/site/targets.rs
@@ -35,7 +35,8 @@
 }
 
 impl Site {
-    /// Waits until every target listens, since requests are already served before the last one does.
+    /// Waits until every target listens, since requests are already served before the last one
+    /// does.
     pub(super) async fn wait_until_targets_listen(&self) {
         for target in &self.targets {
             eventually("a target listens", || async {
--- a/crates/trial/tests/faulty.rs
+++ b/crates/trial/tests/faulty.rs
@@ -50,8 +50,8 @@
     tokio::join!(work, site.keep_listed(address, &stop));
 }
 
-/// A target wrote an earlier refusal once more on a kept connection, as the answer to a request that it
-/// was running, and the caller was told that the request had not run.
+/// A target wrote an earlier refusal once more on a kept connection, as the answer to a request
+/// that it was running, and the caller was told that the request had not run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refusal_written_again_is_no_proof_that_a_request_has_not_run() {
     check_orders(Kind::RepeatedRefusal, |target, response| {
@@ -61,8 +61,8 @@
     .await;
 }
 
-/// A target closed its connection in the middle of a head, and callers got a success with an empty or
-/// short body.
+/// A target closed its connection in the middle of a head, and callers got a success with an empty
+/// or short body.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_head_that_ends_midway_is_no_success() {
     for lines in 1..=4 {
@@ -76,8 +76,9 @@
     }
 }
 
-/// A request that its entry had given up was delivered seconds later, when the link to the target was
-/// whole again: closing a connection goes on sending what is in its buffer, and only a reset drops it.
+/// A request that its entry had given up was delivered seconds later, when the link to the target
+/// was whole again: closing a connection goes on sending what is in its buffer, and only a reset
+/// drops it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_is_given_up_resets_its_connection() {
     check_orders(Kind::Silent, |target, response| {
--- a/crates/trial/tests/isolated.rs
+++ b/crates/trial/tests/isolated.rs
@@ -46,8 +46,8 @@
     assert!(run_twice.is_none(), "a request ran twice: {run_twice:?}");
 }
 
-/// An entry that had lost its links to the targets refused every request, although the other entries
-/// reached the targets, and it reached them.
+/// An entry that had lost its links to the targets refused every request, although the other
+/// entries reached the targets, and it reached them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_that_reaches_no_target_serves_through_others() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
@@ -78,8 +78,8 @@
     verify_journal(&site);
 }
 
-/// A request that was passed on and whose connection then broke may have run, so the caller must not be
-/// told that it has not.
+/// A request that was passed on and whose connection then broke may have run, so the caller must
+/// not be told that it has not.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_order_that_was_passed_on_to_a_lost_entry_may_have_run() {
     let mut site = Site::start(SitePlan { entries: 2, ..SitePlan::default() }).await;
@@ -141,8 +141,8 @@
     .await;
 }
 
-/// A leader that reached no target went on leading, since it reached the store and the other entries.
-/// Its grants did not arrive, and all keys lost their holders.
+/// A leader that reached no target went on leading, since it reached the store and the other
+/// entries. Its grants did not arrive, and all keys lost their holders.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leader_that_reaches_no_target_is_replaced() {
     let mut site = Site::start(SitePlan { entries: ENTRY_COUNT, ..SitePlan::default() }).await;
--- a/crates/trial/tests/large_routing.rs
+++ b/crates/trial/tests/large_routing.rs
@@ -1,5 +1,5 @@
-//! A routing configuration of thousands of routes: it reaches every entry, and its size slows nothing
-//! else down.
+//! A routing configuration of thousands of routes: it reaches every entry, and its size slows
+//! nothing else down.
 
 use {
     http::{Method, Request, StatusCode},
@@ -26,8 +26,8 @@
     SiteRequest { path: "/nowhere/1".to_owned(), ..SiteRequest::lookup(1) }
 }
 
-/// A process that the leadership record names as the leader. It takes reports and says which version
-/// of the routing configuration it has, but gives it to nobody.
+/// A process that the leadership record names as the leader. It takes reports and says which
+/// version of the routing configuration it has, but gives it to nobody.
 struct FakeLeader {
     address: SocketAddr,
     /// The sizes of the reports, in bytes.
@@ -113,8 +113,8 @@
     assert!(largest <= MAX_MESSAGE_BYTES, "a report had {largest} bytes");
 }
 
-/// A leader sent the whole routing configuration in its reply to each report of an entry that had an
-/// older one, which filled the link of a weak leader.
+/// A leader sent the whole routing configuration in its reply to each report of an entry that had
+/// an older one, which filled the link of a weak leader.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replies_to_an_entry_that_is_behind_stay_small() {
     let site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
@@ -140,8 +140,8 @@
     assert_eq!(reply["routing_version"], 7);
 }
 
-/// The time limit for a read was one second for the whole response, so an entry on a slow link never
-/// got a large configuration, and asked for it again and again.
+/// The time limit for a read was one second for the whole response, so an entry on a slow link
+/// never got a large configuration, and asked for it again and again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_on_a_slow_link_gets_a_large_routing_configuration() {
     let mut site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
@@ -180,8 +180,8 @@
     assert!(!site.is_ready(1).await, "an entry that has just started and is behind says ready");
 }
 
-/// The store's answer confirmed the configuration that the entry had, although the answer's own could
-/// not be read.
+/// The store's answer confirmed the configuration that the entry had, although the answer's own
+/// could not be read.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_configuration_that_cannot_be_read_does_not_confirm_the_one_before() {
     let site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
--- a/crates/trial/tests/notices.rs
+++ b/crates/trial/tests/notices.rs
@@ -41,7 +41,8 @@
     }
 }
 
-/// Makes a target for orders say that it leaves, and calls `send` until one of its answers has done so.
+/// Makes a target for orders say that it leaves, and calls `send` until one of its answers has done
+/// so.
 async fn say_leaving(site: &Site, send: impl AsyncFn()) {
     let fault = holder::Fault { says_leaving: true, ..holder::Fault::default() };
     site.set_target_fault(ORDER_TARGET, fault).await;
--- a/crates/trial/tests/requests.rs
+++ b/crates/trial/tests/requests.rs
@@ -1,7 +1,7 @@
 //! Requests through a fleet while targets and connections fail.
 //!
-//! Responses must be complete and belong to their request, orders must run at most once, and neither
-//! silent connections nor requests that crash their targets may affect other requests.
+//! Responses must be complete and belong to their request, orders must run at most once, and
+//! neither silent connections nor requests that crash their targets may affect other requests.
 
 use {
     http::Method,
--- a/crates/trial/tests/site.rs
+++ b/crates/trial/tests/site.rs
@@ -11,8 +11,8 @@
     trial::{Site, SitePlan, SiteRequest, eventually},
 };
 
-/// Checks that the journals show no key with two holders, no order that ran twice, and no order that
-/// ran although its caller was told that it had not.
+/// Checks that the journals show no key with two holders, no order that ran twice, and no order
+/// that ran although its caller was told that it had not.
 fn verify_journal(site: &Site, not_run: &HashSet<String>) {
     let lines = site.journal_lines();
     let double_holders = check::key_overlaps(&lines);
@@ -218,8 +218,8 @@
 /// The depth of a registration that a parser which recurses does not survive.
 const NESTING_DEPTH: usize = 12_000;
 
-/// Returns a registration of another writer at the address of a target, with some fields replaced by
-/// JSON texts.
+/// Returns a registration of another writer at the address of a target, with some fields replaced
+/// by JSON texts.
 fn odd_registration(address: &SocketAddr, fields: &[(&str, &str)]) -> String {
     let mut all = BTreeMap::from([
         ("service", r#""catalogue""#.to_owned()),
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -35,8 +35,8 @@
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The idle time before the first TCP keep-alive probe, and the time between two. The kernel counts
-/// them in whole seconds. The probes detect a dead connection while a response is awaited; once one is
-/// unanswered, [`UNACKNOWLEDGED_DATA_TIMEOUT`] ends the connection, whatever their number.
+/// them in whole seconds. The probes detect a dead connection while a response is awaited; once one
+/// is unanswered, [`UNACKNOWLEDGED_DATA_TIMEOUT`] ends the connection, whatever their number.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The time for which sent data may remain unacknowledged before the connection is closed.
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -1,8 +1,8 @@
 //! Accepting connections, for all servers.
 //!
-//! An accept fails for lack of file descriptors, or since the caller has left; neither ends a server.
-//! Each failure is reported to the server and followed by a pause, so that a lasting one causes no
-//! busy loop.
+//! An accept fails for lack of file descriptors, or since the caller has left; neither ends a
+//! server. Each failure is reported to the server and followed by a pause, so that a lasting one
+//! causes no busy loop.
 
 use {
     hyper_util::server::graceful::GracefulShutdown,
@@ -17,8 +17,8 @@
 /// The pause after a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Waits for the next connection, which sends small writes at once. Each failure until then is passed
-/// to `on_failure`.
+/// Waits for the next connection, which sends small writes at once. Each failure until then is
+/// passed to `on_failure`.
 pub async fn accept(listener: &TcpListener, mut on_failure: impl FnMut(io::Error)) -> TcpStream {
     loop {
         let accepted = listener.accept().await;
--- a/crates/wire/tests/client.rs
+++ b/crates/wire/tests/client.rs
@@ -84,8 +84,8 @@
     (timer == KEEPALIVE_TIMER).then(|| Duration::from_millis(10 * ticks))
 }
 
-/// The keep-alive of connections was set below the kernel's unit of a second, which the kernel refused,
-/// so a long poll to a silent store went on until its own time was over.
+/// The keep-alive of connections was set below the kernel's unit of a second, which the kernel
+/// refused, so a long poll to a silent store went on until its own time was over.
 #[tokio::test]
 async fn a_connection_on_which_a_response_is_awaited_is_probed_soon() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
--- a/crates/wire/tests/listener.rs
+++ b/crates/wire/tests/listener.rs
@@ -13,8 +13,8 @@
     wire::accept_until,
 };
 
-/// Serves one request, which takes `response_time`, and stops once it has begun. Returns whether the
-/// server says that all responses ended within `timeout`, and whether the client got one.
+/// Serves one request, which takes `response_time`, and stops once it has begun. Returns whether
+/// the server says that all responses ended within `timeout`, and whether the client got one.
 async fn stop_during_a_response(response_time: Duration, timeout: Duration) -> (bool, bool) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a listener");
     let address = listener.local_addr().expect("an address");
