Count a poll of the registry as pending only once it was written

Suspected cause, by argument: a change counts as new if its poll had waited for 0.5 s or more. The wait began with the call. On a machine with a tenth of a core the control thread may get to the task that writes the request half a second later; the store then answers at once with a change that is older, and the entry takes it for new.

Evidence: wire::sending::a_call_counts_as_sent_once_its_process_gets_to_it, where another task has the thread for 600 ms between the call and its writing; with no turn left to other tasks, as before, it fails ("counted as sent before it was written").

Change: the wait begins when the other tasks of the runtime have had their turns after the call. Polls that were held up count as not pending, so that the age of a change is overrated rather than underrated.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -185,8 +185,11 @@
         let changed_at = earliest_change(&mut staleness, &rows, sent_at);
         send(&inputs, Input::TargetRows { rows, complete: true, changed_at }).await;
         loop {
-            let sent_at = Tick::now();
-            match store.watch(Table::Targets, version).await {
+            let called_at = Tick::now();
+            let watch = store.watch(Table::Targets, version);
+            let (answer, sending_delay) = wire::with_sending_delay(watch).await;
+            let sent_at = called_at.plus(sending_delay);
+            match answer {
                 Ok(rows) => {
                     record_poll(true);
                     version = rows.version;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod forward;
 mod listener;
+mod sending;
 mod server;
 mod socket;
 
@@ -19,6 +20,7 @@
     error::{Error, ErrorKind},
     forward::remove_hop_by_hop,
     listener::{accept, accept_until},
+    sending::with_sending_delay,
     server::{Reply, json, read_body, read_json, serve, status},
     socket::socket,
 };
