Find a connection in the kernel's table by both of its ends

Cause: the test took the first row with the client's port as local port, whatever its address, and so that of another socket. The bound and what is checked are the same.

--- a/crates/wire/tests/client.rs
+++ b/crates/wire/tests/client.rs
@@ -3,7 +3,10 @@
 use {
     bytes::Bytes,
     http::Method,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{SocketAddr, SocketAddrV4},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
@@ -69,21 +72,30 @@
 /// The time after which a silent server must be noticed while its response is awaited.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
-/// Returns when the kernel probes a connection of a local port next, or `None` if it does not. The
-/// kernel lists its timers in hundredths of a second.
-fn next_keepalive(port: u16) -> Option<Duration> {
+/// Returns when the kernel probes the connection between two addresses next, or `None` if it does
+/// not. The kernel lists its timers in hundredths of a second.
+fn next_keepalive(local: SocketAddrV4, remote: SocketAddrV4) -> Option<Duration> {
     const KEEPALIVE_TIMER: &str = "02";
+    let listed = |address: SocketAddrV4| {
+        format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
+    };
+    let ends = [listed(local), listed(remote)];
     let table =
         std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table of connections");
     let rows = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<&str>>());
-    let row = rows
-        .filter(|fields| fields.len() > 5)
-        .find(|fields| fields[1].ends_with(&format!(":{port:04X}")))?;
+    let row = rows.filter(|fields| fields.len() > 5).find(|fields| fields[1..3] == ends)?;
     let (timer, ticks) = row[5].split_once(':')?;
     let ticks = u64::from_str_radix(ticks, 16).ok()?;
     (timer == KEEPALIVE_TIMER).then(|| Duration::from_millis(10 * ticks))
 }
 
+fn v4(address: SocketAddr) -> SocketAddrV4 {
+    match address {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => panic!("an address of another family: {address}"),
+    }
+}
+
 /// The keep-alive of connections was set below the kernel's unit of a second, which the kernel
 /// refused, so a long poll to a silent store went on until its own time was over.
 #[tokio::test]
@@ -99,9 +111,12 @@
     let mut bytes = [0; 4_096];
     let length = stream.read(&mut bytes).await.expect("a request");
     assert!(length > 0, "the request is empty");
+    // Another socket may have the same port at another address.
+    let other = TcpListener::bind(("127.0.0.2", peer.port())).await.expect("a free port");
     // The request has been acknowledged by then, so only the keep-alive timer is left.
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let next = next_keepalive(peer.port());
+    let next = next_keepalive(v4(peer), v4(address));
+    drop(other);
     request.abort();
     assert!(next.is_some_and(|next| next <= MAX_SILENCE), "the next probe comes in {next:?}");
 }
