Send grants at the pace that the leader carries

Cause: the first map, and every takeover, made the grants to all 480 targets begin in one moment. They waited for each other in the leader, and those whose 400 ms ran out there counted as lost by their targets; each loss renewed fences and sent again, and the leader took itself for isolated. Change: hold::outbox lets a bounded number of batches begin, and the next when one ends. A batch that takes much longer than answered ones waits for its target and holds up nobody. Targets of a large service get one span in the first map instead of three, and are renewed at a bounded rate, since each span and each renewal is a call. The leadership lease is looked at when a batch begins, no longer only when it is planned.

--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -4,12 +4,10 @@
     crate::control::{
         message::{Hello, Knowledge, KnowledgeQuery, MapDelta, Reply, Report},
         records::LeadershipRecord,
+        state::ordering::SentGrants,
     },
     conf::routing::Routing,
-    hold::{
-        Instance, Span,
-        planner::{Grant, Outcome},
-    },
+    hold::{Instance, Span, planner::Outcome},
     key::{Era, Service, Version, Vm, clock::Tick},
     platform::{
         order::Connection,
@@ -58,12 +56,7 @@
     /// The write of a map, sent at `sent_at`, has ended.
     MapWritten { service: Service, commit: Commit, sent_at: Tick },
     /// Grants were sent; the connection is present if it can be reused.
-    GrantResults {
-        service: Service,
-        instance: Instance,
-        results: Vec<(Grant, Outcome)>,
-        connection: Option<Connection>,
-    },
+    GrantResults { batch: SentGrants, connection: Option<Connection> },
     /// A release has ended.
     ReleaseResult {
         service: Service,
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -8,7 +8,7 @@
 mod following;
 mod leading;
 mod limiting;
-mod ordering;
+pub(crate) mod ordering;
 mod publishing;
 mod recovery;
 mod reporting;
@@ -26,9 +26,10 @@
         shared::Shared,
         snapshot::TargetPool,
     },
-    hold::{Election, Map, Registration, Registry, routing},
+    hold::{Election, Map, Outbox, Registration, Registry, routing},
     key::{Era, Process, Service, Version, Vm, clock::Tick},
     leading::Leadership,
+    ordering::GrantBatch,
     platform::{
         Store,
         store::{Row, Rows},
@@ -103,6 +104,8 @@
     leadership_learned_at: Tick,
     /// The number of batches of grants that are under way.
     grant_batches: usize,
+    /// The grants that wait to be sent.
+    outbox: Outbox<GrantBatch>,
     /// The version of the newest leadership record of earlier eras.
     former_leadership_version: Version,
     /// Whether this entry's own row is being written.
@@ -163,6 +166,7 @@
             first_era: None,
             leadership_learned_at: now,
             grant_batches: 0,
+            outbox: Outbox::default(),
             former_leadership_version: Version::ZERO,
             joining: false,
             entries_read: false,
@@ -237,8 +241,8 @@
             Input::MapWritten { service, commit, sent_at } => {
                 self.handle_map_written(&service, commit, sent_at, now);
             }
-            Input::GrantResults { service, instance, results, connection } => {
-                self.handle_grant_results(&service, &instance, &results, connection, now);
+            Input::GrantResults { batch, connection } => {
+                self.handle_grant_results(batch, connection, now);
             }
             Input::ReleaseResult { service, instance, span, result } => {
                 self.handle_release_result(&service, &instance, span, result, now);
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -6,7 +6,11 @@
 //! store delays the others.
 
 use {
-    super::{State, recovery::Recovery},
+    super::{
+        State,
+        ordering::{GrantCounts, GrantsLine},
+        recovery::Recovery,
+    },
     crate::control::{
         feeds::send,
         input::Input,
@@ -85,6 +89,8 @@
     pub(super) recovery: Recovery,
     /// The connections over which targets get grants.
     pub(super) connections: Connections<Connection>,
+    /// What came of the grants since the last journal line about them.
+    pub(super) grant_counts: GrantCounts,
     /// The last report of each other entry.
     pub(super) last_reports: HashMap<Vm, LastReport>,
     /// The rate limits of targets, as the other entries are told.
@@ -122,6 +128,7 @@
     pub(super) fn become_leader(&mut self, now: Tick) {
         self.log_belief(LEADERSHIP_KEY, self.leadership_version, "this process");
         self.resigning = false;
+        self.outbox.discard_waiting();
         let former = self.leadership_record.as_ref().and_then(|record| record.former.clone());
         self.leadership = Some(Leadership {
             started_at: now,
@@ -134,6 +141,7 @@
             former_leaders_ended_at: None,
             recovery: Recovery::default(),
             connections: Connections::default(),
+            grant_counts: GrantCounts::default(),
             last_reports: HashMap::new(),
             limits: limit::Board::default(),
             coordinated_fraction: 1.0,
@@ -287,6 +295,9 @@
             .collect();
         if now.since(leadership.summary_logged_at) >= SUMMARY_INTERVAL {
             leadership.summary_logged_at = now;
+            let counts = std::mem::take(&mut leadership.grant_counts);
+            let waiting = self.outbox.waiting();
+            self.shared.journal.log("grants", &GrantsLine { waiting, counts });
             for (service, planner) in &leadership.planners {
                 let summary = planner.summary(registry, now);
                 self.shared.journal.log("balance", &BalanceLine { service, summary });
@@ -297,6 +308,7 @@
                 self.execute(&service, action);
             }
         }
+        self.begin_grants(now);
     }
 
     /// Adds a planner for each keyed service that has none.
--- a/crates/edge/src/control/state/recovery.rs
+++ b/crates/edge/src/control/state/recovery.rs
@@ -170,12 +170,14 @@
         let Some(leadership) = &mut self.leadership else { return };
         let outcome = if !is_complete {
             leadership.planners.clear();
+            self.outbox.discard_waiting();
             let lease = if may_be_renewed { LEADERSHIP_LEASE } else { Duration::ZERO };
             leadership.recovery = Recovery::Waiting(now.plus(lease + validity));
             "waits for forgotten grants to run out"
         } else {
             if has_news {
                 leadership.start_over(now);
+                self.outbox.discard_waiting();
             }
             leadership.recovery = Recovery::Done;
             "continues with what the entries know"
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod election;
 pub mod ledger;
 pub mod map;
+pub mod outbox;
 pub mod planner;
 pub mod registry;
 pub mod routing;
@@ -30,6 +31,7 @@
     election::Election,
     ledger::Ledger,
     map::{Assignment, Instance, Map, Span},
+    outbox::Outbox,
     planner::{Action, Planner},
     registry::{Registration, Registry},
     staleness::Staleness,
--- a/crates/hold/src/planner/place.rs
+++ b/crates/hold/src/planner/place.rs
@@ -11,9 +11,14 @@
     smol_str::SmolStr,
 };
 
-/// The number of spans that each target gets in the first map.
+/// The number of spans that each target gets in the first map of a service. Several spread busy
+/// neighbouring keys over several targets.
 const STRIPES_PER_TARGET: usize = 3;
 
+/// The number of spans in the first map above which targets get fewer, since each span costs a
+/// grant in every renewal. The stripes of so many targets are narrow enough to spread busy keys.
+const MAX_STRIPES: usize = 600;
+
 impl Planner {
     /// Starts a write of the next map, if anything in it has to change.
     pub(super) fn begin_write(&mut self, registry: &Registry, now: Tick) -> Option<Action> {
@@ -155,7 +160,8 @@
         if ready.is_empty() {
             return false;
         }
-        let stripes = balance::stripes(ready.len(), STRIPES_PER_TARGET);
+        let stripes_per_target = (MAX_STRIPES / ready.len()).clamp(1, STRIPES_PER_TARGET);
+        let stripes = balance::stripes(ready.len(), stripes_per_target);
         map.assign_each(
             stripes.into_iter().map(|(span, index)| (span, Some(ready[index].clone()))),
         );
--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -10,6 +10,14 @@
     std::time::Duration,
 };
 
+/// The number of targets whose grants are renewed in a second at most. With more targets each is
+/// renewed less often, so that the leader's work stays within what a weak machine can do.
+const MAX_RENEWALS_PER_S: f64 = 160.0;
+
+/// The longest time between two renewals, as a fraction of the validity of a grant. It leaves time
+/// for two more attempts.
+const MAX_RENEWAL_FRACTION: f64 = 0.4;
+
 impl Planner {
     /// Starts sending the grants that are due.
     pub(super) fn begin_grants(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
@@ -72,14 +80,21 @@
     /// Returns true if all grants of a target are due for renewal.
     fn is_renewal_due(&self, instance: &Instance, now: Tick) -> bool {
         let renewed_at = self.sessions.get(instance).and_then(|session| session.renewed_at);
-        renewed_at.is_none_or(|renewed_at| now.since(renewed_at) >= self.config.renewal_interval)
+        renewed_at.is_none_or(|renewed_at| now.since(renewed_at) >= self.renewal_interval())
+    }
+
+    /// Returns the time between two renewals of a grant.
+    fn renewal_interval(&self) -> Duration {
+        let needed = Duration::from_secs_f64(self.map.holders.len() as f64 / MAX_RENEWALS_PER_S);
+        let longest = self.config.grant_duration.mul_f64(MAX_RENEWAL_FRACTION);
+        needed.min(longest).max(self.config.renewal_interval)
     }
 
     /// Returns by how much the first renewal of a target comes sooner than the later ones, so that
     /// the renewals of many targets are spread over the interval.
     fn renewal_phase(&self, instance: &Instance) -> Duration {
         let weight = key::rendezvous_weight(instance.vm.as_str(), self.service.as_str());
-        self.config.renewal_interval.mul_f64(weight as f64 / u64::MAX as f64)
+        self.renewal_interval().mul_f64(weight as f64 / u64::MAX as f64)
     }
 
     /// Returns the grants to send to a target: all of them if they are due for renewal, or else
--- a/crates/hold/tests/planner/scale.rs
+++ b/crates/hold/tests/planner/scale.rs
@@ -1,7 +1,7 @@
 //! How the work of a planner grows with the number of targets.
 
 use {
-    crate::fixture::{Fixture, SETTLE_INTERVAL_MS, registration, tick_at_ms},
+    crate::fixture::{Fixture, SETTLE_INTERVAL_MS, count_grants, registration, tick_at_ms},
     hold::registry::State,
     std::time::{Duration, Instant},
 };
@@ -53,3 +53,29 @@
     assert!(most <= 2 * least, "from {least} to {most} keys a target");
     assert!(fixture.version - before <= 3, "{} writes", fixture.version - before);
 }
+
+#[test]
+fn a_large_service_is_renewed_at_a_bounded_rate() {
+    const STEP_INTERVAL_MS: u64 = 100;
+    struct Case {
+        targets: u16,
+        max_targets_per_s: usize,
+    }
+    let cases = [
+        Case { targets: 20, max_targets_per_s: 30 },
+        Case { targets: 500, max_targets_per_s: 400 },
+        Case { targets: 2_000, max_targets_per_s: 1_600 },
+    ];
+    for Case { targets, max_targets_per_s } in cases {
+        let mut fixture = Fixture::new(targets);
+        let mut renewed = 0;
+        let rounds = 40;
+        for _ in 0..rounds {
+            let actions = fixture.advance(STEP_INTERVAL_MS);
+            renewed += count_grants(&actions);
+            fixture.carry_out(actions);
+        }
+        let per_s = renewed / (rounds * STEP_INTERVAL_MS as usize / 1_000);
+        assert!(per_s <= max_targets_per_s, "{targets} targets: {per_s} renewed a second");
+    }
+}
