Store the map of a large service in parts

Change: a map of more than 32 KB is divided into parts of equal key ranges, each a row; the first row names their versions and orders all writes, and a write replaces the parts that changed, in one transaction. Old and new beside each other: an entry names the form that it reads in its own row; maps are divided only while every entry that counts reads parts, and become one row when one of an earlier release joins. An earlier release can't parse the first row of a divided map (tested), so it never takes it for one without holders.

--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -7,7 +7,7 @@
         state::ordering::SentGrants,
     },
     conf::routing::Routing,
-    hold::{Instance, Span, planner::Outcome},
+    hold::{Instance, Span, map::Replacement, planner::Outcome},
     key::{Era, Service, Version, Vm, clock::Tick},
     platform::{
         order::Connection,
@@ -54,7 +54,7 @@
     /// The peers have answered: how many get no replies from the leader, and whether any does.
     PollResult { unresponsive: usize, any_responsive: bool },
     /// The write of a map, sent at `sent_at`, has ended.
-    MapWritten { service: Service, commit: Commit, sent_at: Tick },
+    MapWritten { service: Service, replacement: Replacement, commit: Commit, sent_at: Tick },
     /// Grants were sent; the connection is present if it can be reused.
     GrantResults { batch: SentGrants, connection: Option<Connection> },
     /// A release has ended.
--- a/crates/edge/src/control/records.rs
+++ b/crates/edge/src/control/records.rs
@@ -1,6 +1,7 @@
 //! The rows of the table of entries: the leadership record, and one row per entry.
 
 use {
+    hold::map::Format,
     key::{Era, Incarnation, Process, Version, Vm, Zone},
     serde::{Deserialize, Serialize},
     smol_str::{SmolStr, format_smolstr},
@@ -54,6 +55,9 @@
     /// The address at which it takes requests that other entries pass on, if it takes any.
     #[serde(default)]
     pub(crate) relay: Option<SocketAddr>,
+    /// The newest form of stored maps that it can read; earlier releases name none.
+    #[serde(default)]
+    pub(crate) map_format: Format,
 }
 
 /// The kind of a row, by its key.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -26,7 +26,11 @@
         shared::Shared,
         snapshot::TargetPool,
     },
-    hold::{Election, Map, Outbox, Registration, Registry, routing},
+    hold::{
+        Election, Map, Outbox, Registration, Registry,
+        map::{Format, Stored, StoredRow, parse_rows},
+        routing,
+    },
     key::{Era, Process, Service, Version, Vm, clock::Tick},
     leading::Leadership,
     ordering::GrantBatch,
@@ -95,8 +99,8 @@
     leadership_version: Version,
     /// The version that the record has in the store, which a write has to expect.
     leadership_row: Version,
-    /// The maps as they were last read from the store, with the versions of their rows.
-    stored_maps: BTreeMap<Service, (Map, Version)>,
+    /// The maps as they are stored, as far as this process knows.
+    stored_maps: BTreeMap<Service, Stored>,
     /// The era of the store, and the one in which this process first heard from it.
     era: Era,
     first_era: Option<Era>,
@@ -199,6 +203,7 @@
             zone: settings.zone.clone(),
             power: settings.power,
             relay: settings.relay_listen,
+            map_format: Format::Parts,
         };
         let key = member_key(&self.me.vm);
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
@@ -238,8 +243,8 @@
             Input::PollResult { unresponsive, any_responsive } => {
                 self.election.record_poll(unresponsive, any_responsive, self.entry_count, now);
             }
-            Input::MapWritten { service, commit, sent_at } => {
-                self.handle_map_written(&service, commit, sent_at, now);
+            Input::MapWritten { service, replacement, commit, sent_at } => {
+                self.handle_map_written(&service, replacement, commit, sent_at, now);
             }
             Input::GrantResults { batch, connection } => {
                 self.handle_grant_results(batch, connection, now);
@@ -413,15 +418,18 @@
     fn apply_map_rows(&mut self, rows: &Rows, entries: Option<(Rows, Tick)>, now: Tick) {
         self.map_read_in_flight = false;
         self.stored_maps.clear();
-        for row in &rows.rows {
-            let Some(value) = &row.value else { continue };
-            match Map::parse(value, row.version) {
-                Ok(map) => {
-                    let service = Service::from(row.key.as_str());
-                    self.stored_maps.insert(service.clone(), (map.clone(), row.version));
-                    self.apply_map(service, map);
+        let stored_rows = rows.rows.iter().filter_map(|row| {
+            let bytes = row.value.as_deref()?;
+            Some(StoredRow { key: &row.key, version: row.version, bytes })
+        });
+        let stored_rows: Vec<StoredRow<'_>> = stored_rows.collect();
+        for (service, stored) in parse_rows(&stored_rows) {
+            match stored {
+                Ok(stored) => {
+                    self.apply_map(service.clone(), stored.map.clone());
+                    self.stored_maps.insert(service, stored);
                 }
-                Err(error) => self.log_belief(&row.key, row.version, &error.to_string()),
+                Err(error) => self.log_belief(service.as_str(), rows.version, &error.to_string()),
             }
         }
         if let Some((entries, sent_at)) = entries {
--- a/crates/edge/src/control/state/campaigning.rs
+++ b/crates/edge/src/control/state/campaigning.rs
@@ -86,7 +86,7 @@
         let write = Write {
             table: Table::Entries,
             key: LEADERSHIP_KEY.into(),
-            expected: self.leadership_row,
+            expected: Some(self.leadership_row),
             value: Some(value),
         };
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -58,9 +58,10 @@
 pub(super) async fn write_member(store: &Store, key: SmolStr, member: &Member) {
     // Serializing a struct of plain fields cannot fail.
     let value = serde_json::to_vec(member).unwrap_or_default();
-    let mut expected = Version::ZERO;
+    let mut version = Version::ZERO;
     loop {
         let value = Some(value.clone());
+        let expected = Some(version);
         let write = Write { table: Table::Entries, key: key.clone(), expected, value };
         if let Commit::Committed(_) = store.commit(&[write]).await {
             return;
@@ -68,7 +69,7 @@
         time::sleep(WRITE_RETRY_INTERVAL).await;
         if let Ok(rows) = store.read(Table::Entries).await {
             let row = rows.rows.iter().find(|row| row.key == key);
-            expected = row.map_or(Version::ZERO, |row| row.version);
+            version = row.map_or(Version::ZERO, |row| row.version);
         }
     }
 }
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -18,7 +18,7 @@
         orders,
         records::{LEADERSHIP_KEY, LeadershipRecord},
     },
-    hold::{Action, Connections, Map, Planner, planner},
+    hold::{Action, Connections, Map, Planner, map::Format, planner},
     key::{Service, Vm, clock::Tick},
     platform::{
         order::Connection,
@@ -62,6 +62,10 @@
 /// limits.
 pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The time without a report after which an entry of an earlier release no longer decides in which
+/// form maps are stored.
+const FORMER_RELEASE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// What the leader remembers of an entry's last report.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LastReport {
@@ -190,7 +194,8 @@
         }
         leadership.has_read_rows = true;
         for (service, planner) in &mut leadership.planners {
-            planner.record_row(self.stored_maps.get(service).cloned());
+            let stored = self.stored_maps.get(service).cloned();
+            planner.record_row(stored.map(|stored| (stored.map, stored.row_version)));
         }
         if !is_confirmed && !self.campaigning {
             self.campaign(now);
@@ -280,7 +285,9 @@
             return;
         }
         self.add_planners();
+        let format = self.map_format(now);
         let Some(leadership) = &mut self.leadership else { return };
+        leadership.planners.values_mut().for_each(|planner| planner.set_format(format));
         for instance in leadership.connections.remove_closed(|connection| !connection.is_closed()) {
             leadership
                 .planners
@@ -311,6 +318,19 @@
         self.begin_grants(now);
     }
 
+    /// Returns the newest form of stored maps that every entry can read. An entry of an earlier
+    /// release that has not reported for long no longer counts: its VM may be gone for good.
+    fn map_format(&self, now: Tick) -> Format {
+        let Some(leadership) = &self.leadership else { return Format::default() };
+        let counts = |vm: &Vm| {
+            let last_report = leadership.last_reports.get(vm).map(|report| report.at);
+            let heard_at = last_report.unwrap_or(leadership.started_at);
+            now.since(heard_at) < FORMER_RELEASE_TIMEOUT
+        };
+        let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm && counts(vm));
+        others.map(|(_, member)| member.map_format).min().unwrap_or(Format::Parts)
+    }
+
     /// Adds a planner for each keyed service that has none.
     fn add_planners(&mut self) {
         let Some(routing) = self.routing.routing().cloned() else { return };
@@ -327,7 +347,8 @@
                 let map = self.maps.get(&service.name).map(|map| Map::clone(map));
                 let elected_at = leadership.started_at;
                 let mut planner = Planner::new(service.name.clone(), config, map, elected_at);
-                planner.record_row(self.stored_maps.get(&service.name).cloned());
+                let stored = self.stored_maps.get(&service.name).cloned();
+                planner.record_row(stored.map(|stored| (stored.map, stored.row_version)));
                 if let Some(ended_at) = leadership.former_leaders_ended_at {
                     planner.record_former_leaders_ended(ended_at);
                 }
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -9,7 +9,8 @@
         feeds::send, input::Input, message::MapDelta, orders, records::LEADERSHIP_KEY,
     },
     hold::{
-        Action, Instance, Map, Planner, Span, connections,
+        Action, Instance, Map, Span, connections,
+        map::{Replacement, Stored},
         outbox::Ticket,
         planner::{Grant, Outcome, WriteOutcome},
     },
@@ -287,25 +288,37 @@
     fn write_map(&self, service: Service, map: &Map) {
         let planner =
             self.leadership.as_ref().and_then(|leadership| leadership.planners.get(&service));
-        let Some(row_version) = planner.map(Planner::row_version) else { return };
+        let Some(planner) = planner else { return };
+        let row_version = planner.row_version();
         let era = self.store.era();
-        let writes = [
-            Write {
-                table: Table::Entries,
-                key: LEADERSHIP_KEY.into(),
-                // A record of an earlier era is not enough, so the write waits for a new one.
-                expected: self.leadership_version,
-                // Only the version is compared; the row stays.
-                value: None,
-            },
-            Write {
-                table: Table::Maps,
-                key: service.as_str().into(),
-                expected: row_version,
-                value: Some(map.to_bytes(era)),
-            },
-        ];
-        self.log_plan(&service, map, "writing");
+        let stored = self.stored_maps.get(&service);
+        let stored = stored.filter(|stored| stored.row_version == row_version).cloned();
+        let replacement =
+            stored.unwrap_or_else(Stored::absent).replace(&service, map, era, planner.format());
+        let leadership = Write {
+            table: Table::Entries,
+            key: LEADERSHIP_KEY.into(),
+            // A record of an earlier era is not enough, so the write waits for a new one.
+            expected: Some(self.leadership_version),
+            // Only the version is compared; the row stays.
+            value: None,
+        };
+        let first_row = Write {
+            table: Table::Maps,
+            key: service.as_str().into(),
+            expected: Some(row_version),
+            value: Some(replacement.first_row.clone()),
+        };
+        // The first row is replaced with every part, so its version stands for theirs.
+        let parts = replacement.parts.iter().map(|(key, bytes)| Write {
+            table: Table::Maps,
+            key: key.clone(),
+            expected: None,
+            value: Some(bytes.clone()),
+        });
+        let writes: Vec<Write> = [leadership, first_row].into_iter().chain(parts).collect();
+        let (row_bytes, rows) = replacement.size();
+        self.log_plan(&service, map, &format!("writing {rows} rows, at most {row_bytes} bytes"));
         let sent_at = Tick::now();
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
@@ -314,7 +327,7 @@
                 Commit::Committed(version) if version.era() != era => Commit::Ambiguous,
                 commit => commit,
             };
-            send(&inputs, Input::MapWritten { service, commit, sent_at }).await;
+            send(&inputs, Input::MapWritten { service, replacement, commit, sent_at }).await;
         });
     }
 
@@ -343,6 +356,7 @@
     pub(super) fn handle_map_written(
         &mut self,
         service: &Service,
+        replacement: Replacement,
         commit: Commit,
         sent_at: Tick,
         now: Tick,
@@ -355,11 +369,20 @@
         planner.record_write(match commit {
             Commit::Committed(version) => WriteOutcome::Committed(version),
             Commit::Refused => WriteOutcome::Refused,
+            Commit::Rejected(_) => WriteOutcome::Rejected,
             Commit::Conflict | Commit::Ambiguous => WriteOutcome::Unknown,
         });
         let map = planner.map().clone();
         self.log_plan(service, &map, &format!("{commit:?}"));
-        if let Commit::Committed(_) = commit {
+        if let Commit::Rejected(status) = commit {
+            let (row_bytes, rows) = replacement.size();
+            self.shared.counters.count("map_writes", "rejected");
+            let detail = format!("status {status}: {rows} rows, at most {row_bytes} bytes");
+            self.log_plan(service, &map, &detail);
+        }
+        if let Commit::Committed(version) = commit {
+            let stored = replacement.into_stored(map.clone(), version);
+            self.stored_maps.insert(service.clone(), stored);
             let base = self.maps.get(service).cloned().unwrap_or_else(|| Map::vacant().into());
             let delta = map.delta(&base);
             self.apply_map(service.clone(), map);
--- a/crates/hold/src/map.rs
+++ b/crates/hold/src/map.rs
@@ -1,26 +1,21 @@
-//! The assignment map: which target holds which keys of a service, stored as one row.
+//! The assignment map: which target holds which keys of a service.
 
 mod holdings;
+mod part;
+mod row;
 
-pub use self::holdings::Holdings;
+pub use self::{
+    holdings::Holdings,
+    part::{Format, Replacement, Stored, StoredRow, parse_rows},
+    row::Error,
+};
 
 use {
-    key::{Era, Fence, Version, Vm, Zone},
+    key::{Fence, Version, Vm, Zone},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
-    thiserror::Error as Derive,
 };
 
-/// The size of a row up to which spans are split, in bytes. The platform's store accepts 65,536;
-/// the rest is left to reassignments that cannot wait, such as those of a lost target.
-const MAX_ROW_BYTES: usize = 60_000;
-
-/// The size that one holder takes in a row at most, in bytes.
-const HOLDER_BYTES: usize = 72;
-
-/// The size that one assignment takes in a row, in bytes, with a fence of nine digits.
-const ASSIGNMENT_BYTES: usize = 29;
-
 /// A contiguous range of keys, both ends inclusive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Span {
@@ -82,7 +77,7 @@
 /// It is stored as an array, because field names with each holder would leave a row without room
 /// for some hundred targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "HolderRow", into = "HolderRow")]
+#[serde(from = "row::HolderRow", into = "row::HolderRow")]
 pub struct Holder {
     /// The instance of the target.
     pub instance: Instance,
@@ -94,7 +89,7 @@
 
 /// A span of keys and its holder, stored as an array like [`Holder`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "AssignmentRow", into = "AssignmentRow")]
+#[serde(from = "row::AssignmentRow", into = "row::AssignmentRow")]
 pub struct Assignment {
     /// The keys.
     pub span: Span,
@@ -105,77 +100,6 @@
     pub fence: Fence,
 }
 
-/// The stored form of a holder: name, start, address and zone.
-#[derive(Serialize, Deserialize)]
-struct HolderRow(Vm, u64, SocketAddr, Zone);
-
-impl From<HolderRow> for Holder {
-    fn from(row: HolderRow) -> Self {
-        Self { instance: Instance { vm: row.0, started_at_ms: row.1 }, address: row.2, zone: row.3 }
-    }
-}
-
-impl From<Holder> for HolderRow {
-    fn from(holder: Holder) -> Self {
-        Self(holder.instance.vm, holder.instance.started_at_ms, holder.address, holder.zone)
-    }
-}
-
-/// The stored form of an assignment: first key, last key, index of the holder and fence.
-#[derive(Serialize, Deserialize)]
-struct AssignmentRow(u16, u16, Option<u16>, u64);
-
-impl From<AssignmentRow> for Assignment {
-    fn from(row: AssignmentRow) -> Self {
-        let span = Span { first: row.0, last: row.1 };
-        Self { span, holder: row.2, fence: Fence::from(row.3) }
-    }
-}
-
-impl From<Assignment> for AssignmentRow {
-    fn from(assignment: Assignment) -> Self {
-        Self(assignment.span.first, assignment.span.last, assignment.holder, assignment.fence.get())
-    }
-}
-
-/// The stored form of a map. A store that has come back from a copy has rows of earlier eras, which
-/// are as old as the copy.
-#[derive(Serialize, Deserialize)]
-struct Row {
-    /// The era in which the row was written; earlier releases state none.
-    #[serde(default)]
-    era: Option<Era>,
-    #[serde(flatten)]
-    map: Map,
-}
-
-/// Returns the stored form of a fence: without the era if it is that of the row, which saves a
-/// third of the row.
-fn shorten_fence(fence: Fence, era: Era) -> Fence {
-    let version = Version::from(fence.get());
-    if version.era() == era { Fence::from(version.number()) } else { fence }
-}
-
-/// Returns the fence of a stored form.
-fn expand_fence(fence: Fence, era: Era) -> Fence {
-    let version = Version::from(fence.get());
-    if version.era() != Era::ZERO {
-        return fence;
-    }
-    Version::in_era(era, version.number()).map_or(fence, |version| Fence::from(version.get()))
-}
-
-/// The reason why a row cannot be parsed.
-#[derive(Debug, Derive)]
-pub enum Error {
-    /// The row is not JSON of the expected form.
-    #[error("malformed map: {0}")]
-    Malformed(#[from] serde_json::Error),
-    /// The assignments do not cover each key exactly once, or refer to an unknown holder.
-    #[error("assignments do not cover each key once, or refer to an unknown holder")]
-    InvalidAssignments,
-}
-
 /// A span of keys with its new holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpanHolder {
@@ -222,55 +146,6 @@
         Self { version: Version::ZERO, holders: Vec::new(), assignments: vec![assignment] }
     }
 
-    /// Parses a row that the store has with version `row_version`. The version of the map has the
-    /// era in which the row was written, which may be an earlier one.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] if the row is not a complete map.
-    pub fn parse(bytes: &[u8], row_version: Version) -> Result<Self, Error> {
-        let row: Row = serde_json::from_slice(bytes)?;
-        let version = row.era.map_or(row_version, |era| row_version.of_era(era));
-        let mut map = row.map;
-        let era = row.era.unwrap_or_default();
-        map.version = version;
-        let mut next = 0_u32;
-        for assignment in &mut map.assignments {
-            let is_holder_known =
-                assignment.holder.is_none_or(|holder| usize::from(holder) < map.holders.len());
-            let Span { first, last } = assignment.span;
-            if u32::from(first) != next || last < first || !is_holder_known {
-                return Err(Error::InvalidAssignments);
-            }
-            next = u32::from(last) + 1;
-            assignment.fence = match assignment.fence {
-                Fence::ZERO => Fence::from(version.get()),
-                fence => expand_fence(fence, era),
-            };
-        }
-        if next == Span::ALL.width() { Ok(map) } else { Err(Error::InvalidAssignments) }
-    }
-
-    /// Serializes the map to a row that is written in `era`.
-    #[must_use]
-    pub fn to_bytes(&self, era: Era) -> Vec<u8> {
-        let mut map = self.clone();
-        for assignment in &mut map.assignments {
-            assignment.fence = shorten_fence(assignment.fence, era);
-        }
-        // Serialization to JSON cannot fail here, since every object in a map has string keys.
-        serde_json::to_vec(&Row { era: Some(era), map }).unwrap_or_default()
-    }
-
-    /// Returns how many spans can be split before the row would be larger than the store accepts.
-    #[must_use]
-    pub fn room_for_splits(&self) -> usize {
-        let row_bytes =
-            HOLDER_BYTES * self.holders.len() + ASSIGNMENT_BYTES * self.assignments.len();
-        // A split in the middle makes two more assignments, and the recipient may be a new holder.
-        MAX_ROW_BYTES.saturating_sub(row_bytes) / (HOLDER_BYTES + 2 * ASSIGNMENT_BYTES)
-    }
-
     /// Returns the assignment of a key.
     #[must_use]
     pub fn assignment(&self, key: u16) -> Option<&Assignment> {
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -27,7 +27,7 @@
     crate::{
         balance::Load,
         ledger::Ledger,
-        map::{Holder, Instance, Map, Span},
+        map::{Format, Holder, Instance, Map, Span},
         registry::{Availability, RegisteredTarget, Registry},
     },
     key::{Fence, Service, Version, clock::Tick},
@@ -138,6 +138,9 @@
     Committed(Version),
     /// The row was not written.
     Refused,
+    /// The row was not written and never will be: the store does not accept it, such as for its
+    /// size.
+    Rejected,
     /// The row must be read to find out whether it was written.
     Unknown,
 }
@@ -184,8 +187,12 @@
     handovers: BTreeMap<Span, SmolStr>,
     /// Instances that hold keys according to the map and are known to have ended.
     ended_instances: BTreeSet<Instance>,
+    /// The form in which the map may be stored.
+    format: Format,
     /// The map that is being written.
     pending_write: Option<Map>,
+    /// The map that the store rejected last; it is not written again unchanged.
+    rejected_write: Option<Map>,
     /// Maps whose write got no answer and that the store may still accept.
     unresolved_writes: Vec<Map>,
     /// Whether the row must be read again before anything else is written.
@@ -221,7 +228,9 @@
             reassignments: Vec::new(),
             handovers: BTreeMap::new(),
             ended_instances: BTreeSet::new(),
+            format: Format::default(),
             pending_write: None,
+            rejected_write: None,
             unresolved_writes: Vec::new(),
             needs_row: false,
             load: Load::default(),
@@ -247,6 +256,19 @@
         self.ledger.limit(ended_at.plus(self.config.max_grant_validity()));
     }
 
+    /// Sets the form in which the map may be stored, by what all entries can read. A map that is
+    /// stored in a form that some cannot read is written again.
+    pub fn set_format(&mut self, format: Format) {
+        self.is_row_outdated |= format < self.format;
+        self.format = format;
+    }
+
+    /// Returns the form in which the map may be stored.
+    #[must_use]
+    pub const fn format(&self) -> Format {
+        self.format
+    }
+
     /// Returns the load of the service, so that the caller can record what entries report.
     pub const fn load_mut(&mut self) -> &mut Load {
         &mut self.load
@@ -374,6 +396,7 @@
                 self.adopt_map(map);
             }
             WriteOutcome::Refused => {}
+            WriteOutcome::Rejected => self.rejected_write = Some(map),
             WriteOutcome::Unknown => {
                 self.unresolved_writes.push(map);
                 self.needs_row = true;
--- a/crates/hold/src/planner/place.rs
+++ b/crates/hold/src/planner/place.rs
@@ -38,6 +38,9 @@
             return None;
         }
         map.coalesce();
+        if self.rejected_write.as_ref() == Some(&map) {
+            return None;
+        }
         self.pending_write = Some(map.clone());
         Some(Action::Write(map))
     }
@@ -156,7 +159,8 @@
 
     /// Divides all keys among the targets that are ready.
     fn assign_all(&self, registry: &Registry, map: &mut Map, now: Tick) -> bool {
-        let ready: Vec<Holder> = self.ready_targets(registry, now).map(to_holder).collect();
+        let ready = self.ready_targets(registry, now).map(to_holder);
+        let ready: Vec<Holder> = ready.take(self.format.max_holders()).collect();
         if ready.is_empty() {
             return false;
         }
--- a/crates/hold/src/planner/reassignment.rs
+++ b/crates/hold/src/planner/reassignment.rs
@@ -114,7 +114,7 @@
         self.load.decay(seconds);
         let candidates = self.candidates(registry, now);
         let limit = MIN_REASSIGNMENT_LIMIT.max(candidates.len() / TARGETS_PER_REASSIGNMENT);
-        let limit = limit.min(self.map.room_for_splits());
+        let limit = limit.min(self.map.room_for_splits(self.format));
         balance::rebalance(&self.map, &self.load, &candidates, limit)
             .into_iter()
             .map(|chosen| Reassignment::new(chosen.span, chosen.from, Some(chosen.to)))
--- a/crates/hold/tests/planner/rows.rs
+++ b/crates/hold/tests/planner/rows.rs
@@ -32,6 +32,24 @@
     assert!(again.iter().any(|action| matches!(action, Action::Write(_))), "{again:?}");
 }
 
+/// A map that was too long for its row was written again in every round.
+#[test]
+fn a_rejected_write_is_not_repeated_unchanged() {
+    let is_write = |action: &Action| matches!(action, Action::Write(_));
+    let mut fixture = Fixture::new(3);
+    fixture.planner.record_instance_end(&instance(1, 1));
+    assert!(fixture.advance(10).iter().any(is_write));
+    fixture.planner.record_write(WriteOutcome::Rejected);
+    assert!(!fixture.planner.needs_row(), "a rejected write leaves no doubt");
+    for _ in 0..20 {
+        let actions = fixture.advance(SETTLE_INTERVAL_MS);
+        assert!(!actions.iter().any(is_write), "{actions:?}");
+        fixture.carry_out(actions);
+    }
+    fixture.planner.record_instance_end(&instance(2, 1));
+    assert!(fixture.advance(SETTLE_INTERVAL_MS).iter().any(is_write), "another map is written");
+}
+
 #[test]
 fn a_new_leader_sends_no_grants_before_its_own_fences_are_written() {
     let first = Fixture::new(2);
