Let a few entries of each zone read the registry, and the others follow them

Change: in zones of more than six entries the two strongest read the registry from the store, and the others poll one of them for what changed apart from heartbeats (crate member; pure decisions). An answer says of which version it is and how long ago the store confirmed it; the follower dates what it learns back by that age, so targets that leave are closed as early as before. An answer older than 2 s, of an earlier era, or none within 1.2 s makes it ask the next entry, and after four of them the store. An entry of an earlier release answers 404, which is such a failure. The leader always reads the store. Zones of up to six entries do as before, so fleets of 9 to 12 are unchanged.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -6,12 +6,16 @@
 //! fleet does not overload the store.
 
 use {
-    crate::{control::input::Input, shared::Shared},
+    crate::{
+        control::{input::Input, message::RegistryQuery, peers::Peers},
+        shared::Shared,
+    },
     hold::staleness::{PollTiming, Staleness},
-    key::{Version, clock::Tick},
+    key::{Era, Version, Vm, clock::Tick},
+    member::{Reader, Source, Sources},
     platform::store::{Error, Rows, Store, Table},
     serde::Serialize,
-    std::{sync::Arc, time::Duration},
+    std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc::Sender, watch},
         time,
@@ -41,6 +45,9 @@
 /// The longest pause after a change of the table of entries.
 const MAX_ENTRIES_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// The time since the store confirmed it after which what another entry knows is not used.
+const MAX_RELAYED_AGE_MS: u64 = 2_000;
+
 /// The number of outages of the store that have ended, returns from a copy included. A long poll
 /// that was in flight during an outage may never be answered, so each change of this number makes
 /// the feeds poll again.
@@ -153,69 +160,147 @@
     }
 }
 
-/// Follows the registry and counts the outages that its polls reveal; never returns.
+/// Follows the registry, through another entry or the store, and counts the outages that its polls
+/// reveal; never returns. A new list of readers, even the same ones, makes it read the whole registry.
 pub(crate) async fn follow_targets(
     store: Store,
     inputs: Sender<Input>,
     outage_count: watch::Sender<u64>,
+    mut readers: watch::Receiver<Vec<Reader>>,
     shared: Arc<Shared>,
 ) {
-    let mut unavailable = false;
-    let mut last_era = None;
-    let mut staleness = Staleness::default();
-    let mut record_poll = |answered: bool| {
-        let era = store.known_era();
-        let is_new_era = last_era.is_some() && era != last_era;
-        if (answered && unavailable) || is_new_era {
-            outage_count.send_modify(|count| *count += 1);
-        }
-        last_era = era;
-        unavailable = !answered;
-    };
+    let mut feed = TargetFeed::new(store, inputs, outage_count, shared);
+    let mut sources = Sources::default();
     loop {
+        if readers.has_changed().unwrap_or_default() {
+            sources.set_readers(readers.borrow_and_update().clone());
+            feed.version = Version::ZERO;
+        }
+        match sources.next(Tick::now()) {
+            Source::Entry(reader) => {
+                if !feed.poll_entry(&reader).await {
+                    sources.record_failure(&reader, Tick::now());
+                }
+            }
+            Source::Store => feed.poll_store().await,
+        }
+    }
+}
+
+/// What is known of the registry's feed.
+struct TargetFeed {
+    store: Store,
+    peers: Peers,
+    inputs: Sender<Input>,
+    shared: Arc<Shared>,
+    outage_count: watch::Sender<u64>,
+    /// The version of the store up to which the registry is known; zero if it must be read in full.
+    version: Version,
+    staleness: Staleness,
+    /// Whether the last poll of the store failed.
+    unavailable: bool,
+    last_era: Option<Era>,
+    /// The outages that the entries followed so far have counted.
+    outages_told: HashMap<Vm, u64>,
+}
+
+impl TargetFeed {
+    fn new(
+        store: Store,
+        inputs: Sender<Input>,
+        outage_count: watch::Sender<u64>,
+        shared: Arc<Shared>,
+    ) -> Self {
+        Self {
+            store,
+            peers: Peers::new(),
+            inputs,
+            shared,
+            outage_count,
+            version: Version::ZERO,
+            staleness: Staleness::default(),
+            unavailable: false,
+            last_era: None,
+            outages_told: HashMap::new(),
+        }
+    }
+
+    /// Asks another entry what has changed, and returns true if its answer is usable: the store has
+    /// confirmed it a short time ago.
+    async fn poll_entry(&mut self, reader: &Reader) -> bool {
         let sent_at = Tick::now();
-        let Ok(rows) = store.read(Table::Targets).await else {
-            record_poll(false);
-            send(&inputs, Input::TargetsUnavailable).await;
-            time::sleep(RETRY_INTERVAL).await;
-            continue;
+        let query = RegistryQuery { after: self.version };
+        let Some(update) = self.peers.poll_registry(reader.address, &query).await else {
+            self.shared.counters.count("registry_polls", "entry failed");
+            return false;
         };
-        record_poll(true);
-        let mut version = rows.version;
-        let changed_at = earliest_change(&mut staleness, &rows, sent_at);
-        send(&inputs, Input::TargetRows { rows, complete: true, changed_at }).await;
-        loop {
-            let called_at = Tick::now();
-            let watch = store.watch(Table::Targets, version);
-            let (answer, sending_delay) = wire::with_sending_delay(watch).await;
-            let sent_at = called_at.plus(sending_delay);
-            match answer {
-                Ok(rows) => {
-                    record_poll(true);
-                    version = rows.version;
-                    let changed = !rows.rows.is_empty();
-                    let changed_at = earliest_change(&mut staleness, &rows, sent_at);
-                    send(&inputs, Input::TargetRows { rows, complete: false, changed_at }).await;
-                    if changed {
-                        time::sleep(pause_after_change(
-                            &shared,
-                            MIN_REGISTRY_PAUSE,
-                            MAX_REGISTRY_PAUSE,
-                        ))
-                        .await;
-                    }
-                }
-                Err(Error::Compacted) => break,
-                Err(Error::Unavailable) => {
-                    record_poll(false);
-                    send(&inputs, Input::TargetsUnavailable).await;
-                    time::sleep(RETRY_INTERVAL).await;
-                    // A copy from a peer may have been applied in between, so the registry is read
-                    // in full.
-                    break;
+        let is_recent = update.age_ms.is_some_and(|age_ms| age_ms <= MAX_RELAYED_AGE_MS);
+        if !is_recent || update.version.era() < self.version.era() {
+            self.shared.counters.count("registry_polls", "entry outdated");
+            return false;
+        }
+        self.shared.counters.count("registry_polls", "entry");
+        self.version = self.version.max(update.version);
+        self.store.learn_era(update.version.era());
+        self.record_poll(true);
+        let told = self.outages_told.insert(reader.vm.clone(), update.outages);
+        if told.is_some_and(|told| told != update.outages) {
+            self.outage_count.send_modify(|count| *count += 1);
+        }
+        let answered_at = sent_at.plus(Duration::from_millis(update.waited_ms));
+        send(&self.inputs, Input::RegistryUpdate { update, answered_at }).await;
+        true
+    }
+
+    /// Polls the store once, or reads the registry in full.
+    async fn poll_store(&mut self) {
+        let called_at = Tick::now();
+        let complete = self.version == Version::ZERO;
+        let call = async {
+            if complete {
+                self.store.read(Table::Targets).await
+            } else {
+                self.store.watch(Table::Targets, self.version).await
+            }
+        };
+        let (answer, sending_delay) = wire::with_sending_delay(call).await;
+        let sent_at = if complete { called_at } else { called_at.plus(sending_delay) };
+        match answer {
+            Ok(rows) => {
+                self.shared.counters.count("registry_polls", "store");
+                self.record_poll(true);
+                self.version = rows.version;
+                let changed = !rows.rows.is_empty();
+                let changed_at = earliest_change(&mut self.staleness, &rows, sent_at);
+                send(&self.inputs, Input::TargetRows { rows, complete, changed_at }).await;
+                if changed && !complete {
+                    let pause =
+                        pause_after_change(&self.shared, MIN_REGISTRY_PAUSE, MAX_REGISTRY_PAUSE);
+                    time::sleep(pause).await;
                 }
             }
+            Err(Error::Compacted) => self.version = Version::ZERO,
+            Err(Error::Unavailable) => {
+                self.shared.counters.count("registry_polls", "store failed");
+                self.record_poll(false);
+                send(&self.inputs, Input::TargetsUnavailable).await;
+                time::sleep(RETRY_INTERVAL).await;
+                // A copy from a peer may have been applied in between, so the registry is read in
+                // full.
+                self.version = Version::ZERO;
+            }
+        }
+    }
+
+    /// Counts an outage once a poll is answered after one that was not, or in a new era.
+    fn record_poll(&mut self, answered: bool) {
+        let era = self.store.known_era();
+        let is_new_era = self.last_era.is_some() && era != self.last_era;
+        if (answered && self.unavailable) || is_new_era {
+            self.outage_count.send_modify(|count| *count += 1);
         }
+        self.last_era = era;
+        self.unavailable = !answered;
     }
 }
 
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -160,6 +160,43 @@
     pub(crate) leaving_for_ms: u64,
 }
 
+/// The question of an entry that follows this one: what has changed in the registry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct RegistryQuery {
+    /// The version of the store up to which the entry knows the registry; zero if it does not.
+    pub(crate) after: Version,
+}
+
+/// A registration that has disappeared.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Removal {
+    pub(crate) vm: Vm,
+    /// The longest time for which it may have been missing.
+    pub(crate) missing_ms: u64,
+    /// The sequence number of the last registration.
+    pub(crate) sequence: u64,
+}
+
+/// The answer: what an entry knows of the registry, of which version and how old.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct RegistryUpdate {
+    /// The version of the store up to which the registry was read.
+    pub(crate) version: Version,
+    /// The time since the store last confirmed that version; none if it has not yet, or does not
+    /// answer.
+    pub(crate) age_ms: Option<u64>,
+    /// For how long the question waited for a change.
+    pub(crate) waited_ms: u64,
+    /// Whether the registrations are all that there are, rather than those that changed.
+    pub(crate) complete: bool,
+    pub(crate) registered: Vec<VersionedRegistration>,
+    pub(crate) removed: Vec<Removal>,
+    /// The number of outages of the store that the entry has seen end.
+    pub(crate) outages: u64,
+    /// The time since the last of them ended.
+    pub(crate) available_ms: Option<u64>,
+}
+
 /// The announcement of a new leader.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Announcement {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -17,7 +17,7 @@
     input::Input,
     key::{Process, clock::Tick},
     platform::Store,
-    state::State,
+    state::{State, relaying::Relay},
     std::{net::TcpListener, sync::Arc, time::Duration},
     tokio::{
         runtime::Builder,
@@ -77,13 +77,16 @@
         outages,
         Arc::clone(&context.shared),
     ));
+    let (reader_list, readers) = watch::channel(Vec::new());
+    let relay = Relay::new(reader_list, outage_count.subscribe());
     tokio::task::spawn_local(feeds::follow_targets(
         registry_store,
         feed.1,
         outage_count,
+        readers,
         Arc::clone(&context.shared),
     ));
-    let mut state = State::new(context.me, context.shared, store, sender);
+    let mut state = State::new(context.me, context.shared, store, sender, relay);
     state.join();
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -8,7 +8,11 @@
         control::{
             feeds::send,
             input::Input,
-            message::{Announcement, Hello, Knowledge, KnowledgeQuery, MapDelta, Reply, Report},
+            message::{
+                Announcement, Hello, Knowledge, KnowledgeQuery, MapDelta, RegistryQuery,
+                RegistryUpdate, Reply, Report,
+            },
+            state::relaying::REGISTRY_WAIT,
         },
         permit,
         shared::Shared,
@@ -39,6 +43,11 @@
 const HELLO_PATH: &str = "/hello";
 const KNOWLEDGE_PATH: &str = "/knowledge";
 const ROUTING_PATH: &str = "/routing";
+const REGISTRY_PATH: &str = "/registry";
+
+/// The time that a poll of the registry may take beyond the time for which the other entry waits
+/// for a change.
+const REGISTRY_POLL_MARGIN: Duration = Duration::from_millis(400);
 
 /// Serves the calls of peers; never returns.
 pub(crate) async fn serve(listener: TcpListener, inputs: Sender<Input>, shared: Arc<Shared>) {
@@ -71,6 +80,7 @@
         HELLO_PATH,
         KNOWLEDGE_PATH,
         ROUTING_PATH,
+        REGISTRY_PATH,
     ];
     names.into_iter().find(|name| *name == path).unwrap_or("other")
 }
@@ -131,6 +141,14 @@
             let newer = routing.filter(|routing| routing.version > known);
             wire::json(StatusCode::OK, &newer)
         }
+        REGISTRY_PATH if request.method() == Method::POST => {
+            let Ok(query) = wire::read_json::<RegistryQuery>(request, MAX_BODY_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            let (reply_to, reply) = oneshot::channel();
+            send(&inputs, Input::RegistryQuery { query, reply_to }).await;
+            reply_with(reply.await)
+        }
         HELLO_PATH => {
             let (reply_to, reply) = oneshot::channel();
             send(&inputs, Input::Hello { reply_to }).await;
@@ -153,6 +171,8 @@
     client: wire::Client,
     /// The client for transfers whose size grows with the configuration.
     transfer_client: wire::Client,
+    /// The client for polls that the other entry answers once something has changed.
+    poll_client: wire::Client,
 }
 
 impl Peers {
@@ -161,6 +181,10 @@
         Self {
             client: config.build(),
             transfer_client: config.stall_timeout(Some(STALL_TIMEOUT)).build(),
+            poll_client: config
+                .timeout(REGISTRY_WAIT + REGISTRY_POLL_MARGIN)
+                .stall_timeout(Some(STALL_TIMEOUT))
+                .build(),
         }
     }
 
@@ -176,6 +200,15 @@
         newer.ok().flatten()
     }
 
+    /// Asks another entry what has changed in the registry; returns `None` if the call fails.
+    pub(crate) async fn poll_registry(
+        &self,
+        to: SocketAddr,
+        query: &RegistryQuery,
+    ) -> Option<RegistryUpdate> {
+        self.poll_client.post(to, REGISTRY_PATH, query).await.ok()
+    }
+
     /// Sends a map delta to entries. One that cannot be reached gets the map with the reply to its
     /// next report.
     pub(crate) async fn push_delta(&self, members: Vec<SocketAddr>, delta: &MapDelta) {
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -11,6 +11,7 @@
 pub(crate) mod ordering;
 mod publishing;
 mod recovery;
+pub(crate) mod relaying;
 mod reporting;
 mod routes;
 
@@ -39,10 +40,11 @@
         store::{Row, Rows},
         text,
     },
+    relaying::Relay,
     route::quarantine::CrashReport,
     serde::Serialize,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, HashSet, VecDeque},
         sync::Arc,
         time::Duration,
     },
@@ -90,6 +92,8 @@
     /// When the leader last asked the store whether the routing configuration is the newest one.
     routing_checked_at: Tick,
     registry: Registry,
+    /// What this entry passes on of the registry.
+    relay: Relay,
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
@@ -143,11 +147,12 @@
 }
 
 impl State {
-    pub(crate) fn new(
+    pub(super) fn new(
         me: Process,
         shared: Arc<Shared>,
         store: Store,
         inputs: Sender<Input>,
+        relay: Relay,
     ) -> Self {
         let now = Tick::now();
         Self {
@@ -161,6 +166,7 @@
             routing_unreadable: false,
             routing_checked_at: Tick::default(),
             registry: Registry::default(),
+            relay,
             registry_grew_at: None,
             maps: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -226,9 +232,22 @@
             Input::TargetRows { rows, complete, changed_at } => {
                 self.registry.record_poll(true, now);
                 self.registry.record_era(rows.version.era(), now);
-                self.apply_target_rows(rows.rows, complete, changed_at, now);
+                self.relay.record_read(rows.version, complete, now);
+                self.apply_target_rows(rows, complete, changed_at, now);
+                self.answer_registry_queries(now);
+            }
+            Input::RegistryUpdate { update, answered_at } => {
+                self.apply_registry_update(update, answered_at);
+                self.answer_registry_queries(now);
+            }
+            Input::RegistryQuery { query, reply_to } => {
+                self.handle_registry_query(query, reply_to, now);
+            }
+            Input::TargetsUnavailable => {
+                self.registry.record_poll(false, now);
+                self.relay.record_outage();
+                self.answer_registry_queries(now);
             }
-            Input::TargetsUnavailable => self.registry.record_poll(false, now),
             Input::EntryRows { rows, complete } => self.apply_entry_rows(&rows, complete, now),
             Input::MapRows { rows, entries } => self.apply_map_rows(&rows, entries, now),
             Input::MapRowsUnavailable => self.map_read_in_flight = false,
@@ -297,6 +316,7 @@
         } else {
             self.run_follower(now);
         }
+        self.answer_registry_queries(now);
         self.expire_limits(now);
         self.collect_leaving_instances();
         self.fetch_routing(now);
@@ -330,16 +350,19 @@
     }
 
     /// Applies rows of the registry; they may have changed as early as `changed_at`.
-    fn apply_target_rows(&mut self, rows: Vec<Row>, complete: bool, changed_at: Tick, now: Tick) {
+    fn apply_target_rows(&mut self, rows: Rows, complete: bool, changed_at: Tick, now: Tick) {
         let registered_before = self.registry.len();
+        let Rows { rows, version, .. } = rows;
         if complete {
-            let is_listed = |vm: &Vm| rows.iter().any(|row| row.key == vm.as_str());
+            let listed: HashSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+            let is_listed = |vm: &Vm| listed.contains(vm.as_str());
             self.dirty |= self.registry.retain(is_listed, changed_at);
         }
         for row in rows {
             let vm = Vm::from(row.key.as_str());
             let Some(value) = &row.value else {
                 if self.registry.remove(&vm, changed_at) {
+                    self.relay.record_change(version, &vm);
                     self.log_target(&vm, row.version, "gone from the list");
                     self.dirty = true;
                 }
@@ -352,6 +375,7 @@
                 Ok(registration) => {
                     let state = format!("{:?}", registration.state);
                     if self.registry.register(registration, row.version, changed_at) {
+                        self.relay.record_change(version, &vm);
                         self.log_target(&vm, row.version, &state);
                         self.dirty = true;
                     }
--- a/crates/edge/src/control/state/campaigning.rs
+++ b/crates/edge/src/control/state/campaigning.rs
@@ -43,6 +43,8 @@
         self.leadership_record = Some(record);
         self.leadership_version = version;
         self.leadership_learned_at = now;
+        // Which entries this one follows depends on whether it leads.
+        self.dirty = true;
     }
 
     /// Returns the VMs of the leaders that may still renew grants when this process takes over, or
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -29,6 +29,7 @@
     /// Publishes a snapshot of the current state.
     pub(super) fn publish(&mut self, now: Tick) {
         self.dirty = false;
+        self.update_readers();
         let source = self.shared.settings.source;
         let mut snapshot =
             Snapshot { entries: self.entries_sharing_limits(), ..Snapshot::default() };
--- /dev/null
+++ b/crates/edge/src/control/state/relaying.rs
@@ -0,0 +1,212 @@
+//! Passing the registry on to entries that follow this one, and applying what another passes on.
+//!
+//! A query waits until something in the registry has changed that other entries need: a target that
+//! is new, has moved, leaves or is gone. Heartbeats alone, which change every registration about
+//! once a second, are not passed on. A query that has waited for [`REGISTRY_WAIT`] is answered
+//! anyway, since the answer also says how long ago the store confirmed what is known.
+
+use {
+    super::State,
+    crate::control::message::{RegistryQuery, RegistryUpdate, Removal, VersionedRegistration},
+    hold::registry::RegisteredTarget,
+    key::{Version, Vm, clock::Tick},
+    member::{ChangeLog, Member},
+    std::time::Duration,
+    tokio::sync::{oneshot, watch},
+};
+
+/// The time for which a query waits for a change.
+pub(crate) const REGISTRY_WAIT: Duration = Duration::from_millis(800);
+
+/// A query that waits for a change.
+#[derive(Debug)]
+struct Waiter {
+    query: RegistryQuery,
+    since: Tick,
+    reply_to: oneshot::Sender<RegistryUpdate>,
+}
+
+/// What this entry can tell others of the registry.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    /// The version of the store up to which the registry was read.
+    version: Version,
+    /// When the store last confirmed that version.
+    confirmed_at: Option<Tick>,
+    changes: ChangeLog<Vm>,
+    waiters: Vec<Waiter>,
+    /// The entries that this one follows.
+    pub(super) readers: watch::Sender<Vec<member::Reader>>,
+    outages: watch::Receiver<u64>,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        readers: watch::Sender<Vec<member::Reader>>,
+        outages: watch::Receiver<u64>,
+    ) -> Self {
+        Self {
+            version: Version::ZERO,
+            confirmed_at: None,
+            changes: ChangeLog::default(),
+            waiters: Vec::new(),
+            readers,
+            outages,
+        }
+    }
+
+    /// Records that the registry was read up to a version, as of the time `at`. If it was read in
+    /// full, the changes before are not known.
+    pub(super) fn record_read(&mut self, version: Version, complete: bool, at: Tick) {
+        if complete {
+            self.changes.restart(version);
+        }
+        self.version = self.version.max(version);
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Records that a target changed in a version.
+    pub(super) fn record_change(&mut self, version: Version, vm: &Vm) {
+        self.changes.record(version, vm.clone());
+    }
+
+    /// Records that the store does not answer.
+    pub(super) const fn record_outage(&mut self) {
+        self.confirmed_at = None;
+    }
+}
+
+impl State {
+    /// Answers a query at once if there is news, or else lets it wait.
+    pub(super) fn handle_registry_query(
+        &mut self,
+        query: RegistryQuery,
+        reply_to: oneshot::Sender<RegistryUpdate>,
+        now: Tick,
+    ) {
+        self.relay.waiters.push(Waiter { query, since: now, reply_to });
+        self.answer_registry_queries(now);
+    }
+
+    /// Answers the queries for which there is news, and those that have waited for long enough.
+    pub(super) fn answer_registry_queries(&mut self, now: Tick) {
+        let waiters = std::mem::take(&mut self.relay.waiters);
+        for waiter in waiters {
+            let has_news = self.relay.confirmed_at.is_none() || self.has_news(waiter.query.after);
+            if !has_news && now.since(waiter.since) < REGISTRY_WAIT {
+                self.relay.waiters.push(waiter);
+                continue;
+            }
+            let update = self.registry_update(waiter.query.after, waiter.since, now);
+            // An entry whose call timed out asks again.
+            if waiter.reply_to.send(update).is_err() {
+                self.shared.counters.count("replies", "too late");
+            }
+        }
+    }
+
+    /// Returns true if this entry knows of a change after `version`, or cannot tell.
+    fn has_news(&self, version: Version) -> bool {
+        version < self.relay.version
+            && self.relay.changes.since(version).is_none_or(|changes| !changes.is_empty())
+    }
+
+    /// Returns what is known of the registry and is newer than `after`.
+    fn registry_update(&self, after: Version, since: Tick, now: Tick) -> RegistryUpdate {
+        let is_behind = self.relay.version < after;
+        let changes = self.relay.changes.since(after);
+        let complete = !is_behind && changes.is_none();
+        let changed: Vec<&RegisteredTarget> = match &changes {
+            _ if is_behind => Vec::new(),
+            Some(changes) => changes.iter().filter_map(|vm| self.registry.get(vm)).collect(),
+            None => self.registry.targets().collect(),
+        };
+        let (registered, missing): (Vec<_>, Vec<_>) =
+            changed.into_iter().partition(|target| target.is_registered());
+        let millis = |duration: Duration| duration.as_millis() as u64;
+        RegistryUpdate {
+            version: self.relay.version,
+            age_ms: self.relay.confirmed_at.map(|at| millis(now.since(at))),
+            waited_ms: millis(now.since(since)),
+            complete,
+            registered: registered
+                .into_iter()
+                .map(|target| VersionedRegistration {
+                    registration: target.registration.clone(),
+                    version: target.version,
+                    leaving_for_ms: millis(self.registry.leaving_for(target, now)),
+                })
+                .collect(),
+            removed: missing
+                .into_iter()
+                .filter_map(|target| {
+                    let missing_ms = millis(now.since(target.missing_since()?));
+                    let vm = target.registration.vm.clone();
+                    Some(Removal { vm, missing_ms, sequence: target.registration.sequence })
+                })
+                .collect(),
+            outages: *self.relay.outages.borrow(),
+            available_ms: self.registry.available_for(now).map(millis),
+        }
+    }
+
+    /// Applies what another entry knows of the registry, as of the time `answered_at`.
+    pub(super) fn apply_registry_update(&mut self, update: RegistryUpdate, answered_at: Tick) {
+        let RegistryUpdate { version, age_ms: Some(age_ms), complete, .. } = update else { return };
+        let before = |ms: u64| answered_at.before(Duration::from_millis(ms));
+        self.registry.record_poll(true, answered_at);
+        self.registry.record_era(version.era(), answered_at);
+        if let Some(available_ms) = update.available_ms {
+            self.registry.record_outage_end(before(available_ms));
+        }
+        self.relay.record_read(version, complete, before(age_ms));
+        if complete {
+            let is_listed = |vm: &Vm| {
+                update.registered.iter().any(|target| target.registration.vm == *vm)
+                    || update.removed.iter().any(|removal| removal.vm == *vm)
+            };
+            self.dirty |= self.registry.retain(is_listed, before(age_ms));
+        }
+        let registered_before = self.registry.len();
+        for VersionedRegistration { registration, version: row, leaving_for_ms } in
+            update.registered
+        {
+            let vm = registration.vm.clone();
+            if self.registry.register(registration, row, before(leaving_for_ms)) {
+                self.relay.record_change(version, &vm);
+                self.dirty = true;
+            }
+        }
+        for Removal { vm, missing_ms, sequence } in update.removed {
+            self.registry.record_sequence(&vm, sequence);
+            if self.registry.remove(&vm, before(missing_ms)) {
+                self.relay.record_change(version, &vm);
+                self.dirty = true;
+            }
+        }
+        if self.registry.len() > registered_before {
+            self.registry_grew_at = Some(answered_at);
+        }
+    }
+
+    /// Tells the feed of the registry which entries to follow. The leader decides by the registry,
+    /// so it reads the store itself.
+    pub(super) fn update_readers(&self) {
+        let members = self.members.iter().map(|(vm, member)| Member {
+            vm,
+            zone: &member.zone,
+            power: member.power,
+            address: member.address,
+        });
+        let readers = if self.leadership.is_some() {
+            Vec::new()
+        } else {
+            member::readers(&self.me.vm, &self.shared.settings.zone, members)
+        };
+        self.relay.readers.send_if_modified(|known| {
+            let changed = *known != readers;
+            *known = readers;
+            changed
+        });
+    }
+}
--- a/crates/edge/src/control/state/routes.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -53,7 +53,12 @@
         self.shared.counters.set("routing_version", version.get());
         if let Some(routing) = self.routing.routing() {
             let is_named = |service: &Service| routing.service(service).is_some();
+            let known = self.registry.targets().count();
             self.registry.remove_if(|registration| !is_named(&registration.service));
+            if self.registry.targets().count() < known {
+                // An entry that this one follows passes on only what changes there.
+                self.relay.readers.send_modify(|_| {});
+            }
         }
         self.dirty = true;
     }
--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Returns when the registration disappeared, at the earliest, if it has.
+    #[must_use]
+    pub fn missing_since(&self) -> Option<Tick> {
+        self.missing.map(|missing| missing.since)
+    }
+
     /// Returns true if the target was registered when the registry was last read.
     #[must_use]
     pub const fn is_registered(&self) -> bool {
@@ -298,6 +304,24 @@
         self.era = self.era.max(era);
     }
 
+    /// Records the highest sequence number that a target is known to have written.
+    pub fn record_sequence(&mut self, vm: &Vm, sequence: u64) {
+        if let Some(target) = self.targets.get_mut(vm) {
+            target.registration.sequence = target.registration.sequence.max(sequence);
+        }
+    }
+
+    /// Records that another process has seen an outage of the store end at `ended_at`.
+    pub fn record_outage_end(&mut self, ended_at: Tick) {
+        self.available_since = self.available_since.max(Some(ended_at));
+    }
+
+    /// Returns the time since the last outage ended, if there was one.
+    #[must_use]
+    pub fn available_for(&self, now: Tick) -> Option<Duration> {
+        self.available_since.map(|since| now.since(since))
+    }
+
     /// Records whether the store answered a poll of the registry.
     pub fn record_poll(&mut self, answered: bool, now: Tick) {
         if answered {
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,30 @@
+/*!
+Which entries read the store, and how the others learn what they have read.
+
+If every entry polls the store, the calls grow with the fleet, whatever happens in it. So in each
+availability zone a few entries, the readers, follow the store, and the others follow a reader. The
+parts:
+
+- [`readers`] chooses the readers of a zone: by power, so that a weak VM is none, and the same ones
+  in every entry that knows the same members. Nothing has to be agreed: an entry that is asked
+  although others do not take it for a reader answers with what it knows and how old that is.
+- [`Sources`] is what an entry polls next: its reader, another one if that fails, or the store.
+- [`ChangeLog`] is what a reader remembers of changes, so that it passes on only those that are new.
+
+Weighed against it: gossip among all entries, whose delay grows with the fleet and has no bound; and
+the leader as the only reader, which its loss or a cut zone would leave without news. A zone that is
+cut off from the others keeps its readers.
+
+Every decision is a function of its arguments; this crate does no I/O and reads no clock. See
+docs/SCALE.md.
+*/
+
+mod change;
+mod reader;
+mod source;
+
+pub use crate::{
+    change::ChangeLog,
+    reader::{Member, Reader, readers},
+    source::{Source, Sources},
+};
