Test pipelined requests behind slow ones, refusals and a stop

Tests with processes and a socket of their own: in order and whole behind a slow target; a 404 at three places; SIGTERM at 0, 2, 5 and 9 tenths of the work, after which no unanswered request has reached a target and the last response closes the connection.

--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -22,5 +22,5 @@
     fleet::{Fleet, eventually},
     load::{Exchange, Load},
     plan::{FleetPlan, KEYED},
-    site::{ROUTES_WITH_LATER, Site, SitePlan, SiteRequest, SiteResponse},
+    site::{Pipeline, ROUTES_WITH_LATER, Site, SitePlan, SiteRequest, SiteResponse},
 };
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -3,10 +3,14 @@
 //! The stand-in for the platform's store runs in the test; entries and targets are processes.
 
 mod entries;
+mod pipeline;
 mod request;
 mod targets;
 
-pub use request::{SiteRequest, SiteResponse};
+pub use {
+    pipeline::Pipeline,
+    request::{SiteRequest, SiteResponse},
+};
 
 use {
     self::{entries::Entry, targets::Target},
