Count a target that lets a request time out as slow

Some targets never answer a request that they can't queue, nor a later one on its connection. But nothing was learned: the target kept the latency of before, or that assumed for a new target, so the next requests went to it again. Change: the time that a request waited in vain counts in the target's latency, and others are preferred for a moment, as after a refusal. The target is not taken for lost, so nothing is said of it to others. Test: a_full_target_that_says_nothing_is_avoided_while_others_take_requests.

--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -118,6 +118,7 @@
                 }
             }
             let target = self.next_permitted_target().await?;
+            let begun_at = Instant::now();
             let result = self.send_to(&target).await;
             if !matches!(result, AttemptResult::Unsent(_)) {
                 self.sent += 1;
@@ -179,6 +180,7 @@
                 AttemptResult::Late => {
                     self.record_failure(&target, "late");
                     target.close_idle();
+                    target.record_unanswered(begun_at.elapsed());
                     self.may_have_run = true;
                     return Err(self.refusal(Reason::Deadline));
                 }
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -257,12 +257,24 @@
         self.condition.record_end()
     }
 
-    /// Records the latency of a response.
-    pub(crate) fn record_latency(&self, latency: Duration) {
+    /// Records that a request was not answered within its time. The target may be full and say so
+    /// to nobody: it then counts as slow, and others are preferred.
+    pub(crate) fn record_unanswered(&self, waited: Duration) {
+        self.update_latency(waited);
+        self.condition.record_shed();
+    }
+
+    fn update_latency(&self, latency: Duration) {
         let micros = latency.as_micros() as u64;
         let previous = self.latency_us.load(Ordering::Relaxed);
         let average = (previous * (LATENCY_WEIGHT_DIVISOR - 1) + micros) / LATENCY_WEIGHT_DIVISOR;
         self.latency_us.store(average, Ordering::Relaxed);
+    }
+
+    /// Records the latency of a response.
+    pub(crate) fn record_latency(&self, latency: Duration) {
+        self.update_latency(latency);
+        let micros = latency.as_micros() as u64;
         self.answer_count.fetch_add(1, Ordering::Relaxed);
         self.latency_sum_us.fetch_add(micros, Ordering::Relaxed);
     }
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -23,6 +23,9 @@
     CutHead(usize),
     /// Requests run and get no response.
     Silent,
+    /// The target is full: a request does not run and gets no response, and neither does any later
+    /// one on its connection.
+    Full,
 }
 
 /// The requests that a target has seen, by their attempt ids.
@@ -33,6 +36,8 @@
     /// How many connections were closed, and how many reset, while a request had no response.
     closed: usize,
     reset: usize,
+    /// How many bytes arrived on connections behind a request that got no response.
+    behind: usize,
 }
 
 /// A target with a fault.
@@ -73,6 +78,12 @@
         (seen.closed, seen.reset)
     }
 
+    /// Returns how many bytes arrived behind a request that had no response.
+    #[must_use]
+    pub fn bytes_behind(&self) -> usize {
+        self.seen().behind
+    }
+
     /// Serves connections on `listener`, forever.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         serve_connections(listener, |stream| {
@@ -108,21 +119,34 @@
                 }
                 Kind::Silent => {
                     self.seen().run.insert(id.clone());
-                    let end = stream.read(&mut [0]).await;
-                    let mut seen = self.seen();
-                    if end.is_ok() {
-                        seen.closed += 1;
-                    } else {
-                        seen.reset += 1;
-                    }
-                    return Ok(());
+                    return self.wait_for_end(&mut stream).await;
                 }
+                Kind::Full => return self.wait_for_end(&mut stream).await,
             }
         }
         Ok(())
     }
 }
 
+impl Faulty {
+    /// Reads what arrives on a connection without answering it, until its end.
+    async fn wait_for_end(&self, stream: &mut TcpStream) -> io::Result<()> {
+        loop {
+            let end = stream.read(&mut [0; 64]).await;
+            let mut seen = self.seen();
+            match end {
+                Ok(0) => seen.closed += 1,
+                Ok(count) => {
+                    seen.behind += count;
+                    continue;
+                }
+                Err(_) => seen.reset += 1,
+            }
+            return Ok(());
+        }
+    }
+}
+
 /// Returns the response to a request that has run.
 fn success(id: &str) -> String {
     format!(
--- a/crates/trial/tests/faulty.rs
+++ b/crates/trial/tests/faulty.rs
@@ -87,3 +87,50 @@
     })
     .await;
 }
+
+/// Some targets never answer a request that they cannot queue, nor a later one on its connection.
+/// Nothing proves that such a request has not run, and the connection must not be used again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_target_that_says_nothing_is_given_up_with_its_connection() {
+    check_orders(Kind::Full, |target, response| {
+        assert!(!response.is_not_run(), "no proof that it has not run: {response:?}");
+        assert_eq!(target.bytes_behind(), 0, "a request followed on that connection");
+        let (closed, _) = target.abandoned_counts();
+        assert_eq!(closed, 0, "a connection was closed and not reset: {response:?}");
+    })
+    .await;
+}
+
+/// Requests that may be repeated go to the sound target while another one is full and says nothing:
+/// it counts as full, and not as gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_target_that_says_nothing_is_avoided_while_others_take_requests() {
+    const REQUESTS: usize = 60;
+    let plan = SitePlan { entries: 1, keyed_targets: 1, unkeyed_targets: 2, ..SitePlan::default() };
+    let site = Site::start(plan).await;
+    // A target without observations is preferred to those that are known to be slow.
+    let slow = holder::Fault { slow_ms: 200, ..holder::Fault::default() };
+    for sound in 1..=2 {
+        site.set_target_fault(sound, slow).await;
+    }
+    let target = Faulty::new(Kind::Full);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(Arc::clone(&target).serve(listener));
+    let stop = AtomicBool::new(false);
+    let work = async {
+        eventually("the full target gets a request", || async {
+            site.send(0, &SiteRequest::order()).await;
+            (target.arrived_count() > 0).then_some(())
+        })
+        .await;
+        let before = target.arrived_count();
+        for _ in 0..REQUESTS {
+            site.send(0, &SiteRequest::order()).await;
+        }
+        let arrived = target.arrived_count() - before;
+        stop.store(true, Ordering::Relaxed);
+        assert!(arrived <= REQUESTS / 4, "{arrived} of {REQUESTS} went to the full target");
+    };
+    tokio::join!(work, site.keep_listed(address, &stop));
+}
