Call a store that fails less and less often

Change: the delay doubles from 200 ms to 1 s, shortened at random by up to 0.3 (member::Backoff, pure). The end of an outage is noticed within a second; the users' bounds begin three to four seconds after it.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -12,7 +12,7 @@
     },
     hold::staleness::{PollTiming, Staleness},
     key::{Era, Version, Vm, clock::Tick},
-    member::{Reader, Source, Sources},
+    member::{Backoff, Reader, Source, Sources},
     platform::store::{Error, Rows, Store, Table},
     serde::Serialize,
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -22,9 +22,6 @@
     },
 };
 
-/// The time before a call that failed is repeated.
-const RETRY_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The shortest pause after a change of the registry: a target that starts changes its row many
 /// times.
 const MIN_REGISTRY_PAUSE: Duration = Duration::from_millis(500);
@@ -53,6 +50,11 @@
 /// the feeds poll again.
 pub(crate) type OutageCount = watch::Receiver<u64>;
 
+/// Waits before a call that failed is repeated.
+async fn wait_to_retry(backoff: &mut Backoff) {
+    time::sleep(backoff.next_delay(rand::random())).await;
+}
+
 /// Waits for changes of a table, and polls again after an outage.
 async fn next_rows(
     store: &Store,
@@ -93,13 +95,14 @@
     mut outages: OutageCount,
     shared: Arc<Shared>,
 ) {
+    let mut backoff = Backoff::default();
     loop {
         let sent_at = Tick::now();
         let rows = match store.read(Table::Operator).await {
             Ok(rows) => rows,
             Err(error) => {
                 log_failure(&shared, Table::Operator, sent_at, error);
-                time::sleep(RETRY_INTERVAL).await;
+                wait_to_retry(&mut backoff).await;
                 continue;
             }
         };
@@ -109,6 +112,7 @@
             let sent_at = Tick::now();
             match next_rows(&store, Table::Operator, version, &mut outages).await {
                 Ok(rows) => {
+                    backoff.reset();
                     version = rows.version;
                     // The store answers a long poll when something changes or the wait is over.
                     let at = if rows.rows.is_empty() { sent_at } else { Tick::now() };
@@ -117,7 +121,7 @@
                 Err(Error::Compacted) => break,
                 Err(error @ Error::Unavailable) => {
                     log_failure(&shared, Table::Operator, sent_at, error);
-                    time::sleep(RETRY_INTERVAL).await;
+                    wait_to_retry(&mut backoff).await;
                 }
             }
         }
@@ -131,9 +135,10 @@
     mut outages: OutageCount,
     shared: Arc<Shared>,
 ) {
+    let mut backoff = Backoff::default();
     loop {
         let Ok(rows) = store.read(Table::Entries).await else {
-            time::sleep(RETRY_INTERVAL).await;
+            wait_to_retry(&mut backoff).await;
             continue;
         };
         let mut version = rows.version;
@@ -141,6 +146,7 @@
         loop {
             match next_rows(&store, Table::Entries, version, &mut outages).await {
                 Ok(rows) => {
+                    backoff.reset();
                     version = rows.version;
                     let changed = !rows.rows.is_empty();
                     send(&inputs, Input::EntryRows { rows, complete: false }).await;
@@ -154,7 +160,7 @@
                     }
                 }
                 Err(Error::Compacted) => break,
-                Err(Error::Unavailable) => time::sleep(RETRY_INTERVAL).await,
+                Err(Error::Unavailable) => wait_to_retry(&mut backoff).await,
             }
         }
     }
@@ -200,6 +206,7 @@
     /// Whether the last poll of the store failed.
     unavailable: bool,
     last_era: Option<Era>,
+    backoff: Backoff,
     /// The outages that the entries followed so far have counted.
     outages_told: HashMap<Vm, u64>,
 }
@@ -221,6 +228,7 @@
             staleness: Staleness::default(),
             unavailable: false,
             last_era: None,
+            backoff: Backoff::default(),
             outages_told: HashMap::new(),
         }
     }
@@ -269,6 +277,7 @@
             Ok(rows) => {
                 self.shared.counters.count("registry_polls", "store");
                 self.record_poll(true);
+                self.backoff.reset();
                 self.version = rows.version;
                 let changed = !rows.rows.is_empty();
                 let changed_at = earliest_change(&mut self.staleness, &rows, sent_at);
@@ -284,7 +293,7 @@
                 self.shared.counters.count("registry_polls", "store failed");
                 self.record_poll(false);
                 send(&self.inputs, Input::TargetsUnavailable).await;
-                time::sleep(RETRY_INTERVAL).await;
+                wait_to_retry(&mut self.backoff).await;
                 // A copy from a peer may have been applied in between, so the registry is read in
                 // full.
                 self.version = Version::ZERO;
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -158,7 +158,7 @@
             self.begin_action(service.clone(), action, &mut releases);
         }
         for ((service, instance, address), orders) in releases {
-            self.send_releases(&service, &instance, address, orders);
+            self.send_releases(&service, &instance, address, &orders);
         }
     }
 
@@ -186,7 +186,7 @@
         service: &Service,
         instance: &Instance,
         address: SocketAddr,
-        releases: Vec<(Span, Fence)>,
+        releases: &[(Span, Fence)],
     ) {
         let lane_count = MAX_RELEASE_LANES.min(releases.len());
         for lane in 0..lane_count {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -9,6 +9,7 @@
   in every entry that knows the same members. Nothing has to be agreed: an entry that is asked
   although others do not take it for a reader answers with what it knows and how old that is.
 - [`Sources`] is what an entry polls next: its reader, another one if that fails, or the store.
+- [`Backoff`] is how long an entry waits before it repeats a call that failed.
 - [`ChangeLog`] is what a reader remembers of changes, so that it passes on only those that are new.
 
 Weighed against it: gossip among all entries, whose delay grows with the fleet and has no bound; and
@@ -19,11 +20,13 @@
 docs/SCALE.md.
 */
 
+mod backoff;
 mod change;
 mod reader;
 mod source;
 
 pub use crate::{
+    backoff::Backoff,
     change::ChangeLog,
     reader::{Member, Reader, readers},
     source::{Source, Sources},
--- a/crates/member/tests/readers.rs
+++ b/crates/member/tests/readers.rs
@@ -21,7 +21,7 @@
     let entry = |number: usize| Entry {
         vm: Vm::from(format!("front-{number}").as_str()),
         zone: Zone::from(format!("zone-{}", number % zones).as_str()),
-        power: if number / zones % 10 == 0 { 0.5 } else { 0.1 },
+        power: if (number / zones).is_multiple_of(10) { 0.5 } else { 0.1 },
     };
     (0..entries).map(entry).collect()
 }
--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -214,6 +214,15 @@
         self.change_count.send_modify(|count| *count += 1);
     }
 
+    /// Returns the value of a row.
+    #[must_use]
+    pub fn read_row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        use base64::{Engine, engine::general_purpose::STANDARD};
+        let id = (table.to_owned(), String::new(), key.to_owned());
+        let state = self.state();
+        STANDARD.decode(&state.rows.get(&id)?.0).ok()
+    }
+
     /// Discards the history of changes, so that readers must read whole tables again.
     pub fn compact(&self) {
         let mut state = self.state();
--- /dev/null
+++ b/crates/trial/tests/readers.rs
@@ -0,0 +1,110 @@
+//! A fleet in which most entries learn of targets through a few others.
+
+use {
+    standin::{holder, journal::Kind},
+    std::{collections::HashSet, time::Duration},
+    tokio::time,
+    trial::{Site, SitePlan, SiteRequest, eventually},
+};
+
+/// Seven entries in each of three zones, so that two of each zone read the store.
+const ENTRIES: usize = 21;
+const ZONES: usize = 3;
+const READERS_PER_ZONE: usize = 2;
+
+/// The time from the store's word that a target leaves to the last request for it: two seconds in
+/// the settings, and one more for requests on their way in this process.
+const LEAVING_TIME: Duration = Duration::from_secs(3);
+
+fn plan() -> SitePlan {
+    SitePlan { entries: ENTRIES, keyed_targets: 2, unkeyed_targets: 3, ..SitePlan::default() }
+}
+
+/// Returns how many polls of the registry an entry made, of the store or of other entries.
+async fn polls(site: &Site, entry: usize, of: &str) -> u64 {
+    let metrics = site.metrics(entry).await;
+    let name = format!("almondworks_registry_polls{{of=\"{of}\"}} ");
+    let line = metrics.lines().find_map(|line| line.strip_prefix(&name));
+    line.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the entries that poll the store now.
+async fn reading_entries(site: &Site, entries: &[usize]) -> Vec<usize> {
+    let mut before = Vec::new();
+    for entry in entries {
+        before.push(polls(site, *entry, "store").await);
+    }
+    time::sleep(Duration::from_secs(4)).await;
+    let mut reading = Vec::new();
+    for (entry, before) in entries.iter().zip(before) {
+        if polls(site, *entry, "store").await > before {
+            reading.push(*entry);
+        }
+    }
+    reading
+}
+
+/// Returns the ids of the orders that a target ran.
+fn orders_run(site: &Site, vm: &str) -> HashSet<String> {
+    let lines = site.journal_lines().into_iter().filter(|line| line.vm.as_str() == vm);
+    lines
+        .filter_map(|line| match line.kind {
+            Kind::Ran { id, method, .. } if method == "POST" => id,
+            _ => None,
+        })
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_follow_others_learn_what_the_store_says_in_time() {
+    let site = Site::start(plan()).await;
+    let all: Vec<usize> = (0..ENTRIES).collect();
+    let reading = eventually("few entries read the store", || async {
+        let reading = reading_entries(&site, &all).await;
+        // The leader reads the store besides.
+        (reading.len() <= ZONES * READERS_PER_ZONE + 1).then_some(reading)
+    })
+    .await;
+    assert!(!reading.is_empty(), "no entry reads the store");
+    let leaving = holder::Fault { draining: true, ..holder::Fault::default() };
+    site.set_target_fault(2, leaving).await;
+    eventually("the target is registered as leaving", || async {
+        let row = site.store.read_row("servers", "t2")?;
+        String::from_utf8_lossy(&row).contains("draining").then_some(())
+    })
+    .await;
+    time::sleep(LEAVING_TIME).await;
+    let before = orders_run(&site, "t2");
+    for entry in 0..ENTRIES {
+        for _ in 0..3 {
+            let response = site.send(entry, &SiteRequest::order()).await;
+            assert!(response.is_served(), "entry {entry}: {response:?}");
+        }
+    }
+    let after = orders_run(&site, "t2");
+    assert_eq!(after.len(), before.len(), "orders went to a target that had left");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn followers_go_on_when_all_readers_of_their_zone_are_lost() {
+    let mut site = Site::start(plan()).await;
+    let zone: Vec<usize> = (0..ENTRIES).step_by(ZONES).collect();
+    let readers = eventually("few entries of the zone read the store", || async {
+        let reading = reading_entries(&site, &zone).await;
+        (reading.len() <= READERS_PER_ZONE + 1).then_some(reading)
+    })
+    .await;
+    for reader in &readers {
+        site.kill_entry(*reader);
+    }
+    site.kill_target(3);
+    site.kill_target(4);
+    site.start_target(3);
+    let left: Vec<usize> = zone.iter().copied().filter(|entry| !readers.contains(entry)).collect();
+    assert!(!left.is_empty(), "every entry of the zone read the store");
+    for entry in left {
+        site.wait_until_served(entry, &SiteRequest::order()).await;
+        let polls = polls(&site, entry, "entry failed").await + polls(&site, entry, "store").await;
+        assert!(polls > 0, "entry {entry} asked nobody else");
+    }
+}
