Split the files that grew: granting, registering, and the form of the store's calls

Moved, without a change of logic: the sending of grants into state/granting.rs, the application of the registry's rows into state/registering.rs, the types of the bodies and their decoding into platform/store/form.rs.

--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -7,7 +7,7 @@
             Report,
         },
         records::LeadershipRecord,
-        state::ordering::SentGrants,
+        state::granting::SentGrants,
     },
     conf::routing::Routing,
     hold::{Instance, Span, map::Replacement, planner::Outcome},
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         State,
-        ordering::{GrantCounts, GrantsLine},
+        granting::{GrantCounts, GrantsLine},
         recovery::Recovery,
     },
     crate::control::{
