--- a/crates/hold/tests/parts.rs
+++ b/crates/hold/tests/parts.rs
@@ -121,6 +121,23 @@
     assert_eq!(table.read().expect("a map"), stored);
 }
 
+#[test]
+fn rows_of_earlier_releases_are_read() {
+    /// Rows as 0f0ad98 and 9442a14 write them; the first ones stated no era.
+    const ROWS: [&str; 2] = [
+        r#"{"holders":[["i-7f3a91c2",1779261964609,"10.1.0.34:8548","a"]],"holdings":[[0,9,0,7],[10,65535,null,0]]}"#,
+        r#"{"era":0,"holders":[["i-7f3a91c2",1779261964609,"10.1.0.34:8548","a"]],"holdings":[[0,9,0,7],[10,65535,null,0]]}"#,
+    ];
+    for text in ROWS {
+        let row = StoredRow { key: "keyed", version: Version::from(9), bytes: text.as_bytes() };
+        let (_, stored) = parse_rows(&[row]).remove(0);
+        let map = stored.expect("a map").map;
+        assert_eq!(map.version, Version::from(9));
+        let fences: Vec<u64> = map.assignments.iter().map(|known| known.fence.get()).collect();
+        assert_eq!(fences, [7, 9], "{text}");
+    }
+}
+
 /// An entry of an earlier release must not take the first row for a map without holders: as the
 /// leader it would give keys that are held to other targets.
 #[test]
--- a/crates/trial/src/site/entries.rs
+++ b/crates/trial/src/site/entries.rs
@@ -11,6 +11,9 @@
     std::{fs, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
 };
 
+/// The program of an entry.
+const PROGRAM: &str = "almondworks";
+
 /// An address that is not this machine's: no connection can be opened from it.
 const FOREIGN_ADDRESS: &str = "192.0.2.1";
 
@@ -22,6 +25,8 @@
     pub(super) settings_path: PathBuf,
     /// The proxy between the entry and the store.
     pub(super) store_proxy: Arc<Proxy>,
+    /// The program that the entry runs: a name in the build directory, or a path.
+    pub(super) program: String,
     pub(super) process: Option<Process>,
 }
 
@@ -63,6 +68,7 @@
             metrics_address,
             settings_path,
             store_proxy,
+            program: PROGRAM.to_owned(),
             process: None,
         };
         self.entries.push(entry);
@@ -82,11 +88,18 @@
         fs::write(path, settings.to_string()).expect("the settings file cannot be written");
     }
 
+    /// Sets the program that an entry runs from its next start on, such as that of an earlier
+    /// release; `None` is the present one.
+    pub fn set_program(&mut self, index: usize, path: Option<&str>) {
+        self.entries[index].program = path.unwrap_or(PROGRAM).to_owned();
+    }
+
     /// Starts an entry that is not running.
     pub fn start_entry(&mut self, index: usize) {
         let settings = self.entries[index].settings_path.display().to_string();
         let arguments = ["entry".to_owned(), "--settings".to_owned(), settings];
-        let process = Process::start("almondworks", &arguments, &self.entry_log_path(index));
+        let program = &self.entries[index].program;
+        let process = Process::start(program, &arguments, &self.entry_log_path(index));
         self.entries[index].process = Some(process);
     }
 
