Look at the latest change only when a follower asks for news

Found by reading the diff: each question of a follower made its reader look through up to 4,096 changes for every waiting follower, which grows with the square of the followers (500 a reader at the design size). The latest change is enough to say whether there is news, and a new question looks at itself only. What is answered stays the same (test of the change log extended).

--- a/crates/edge/src/control/state/relaying.rs
+++ b/crates/edge/src/control/state/relaying.rs
@@ -84,31 +84,34 @@
         reply_to: oneshot::Sender<RegistryUpdate>,
         now: Tick,
     ) {
-        self.relay.waiters.push(Waiter { query, since: now, reply_to });
-        self.answer_registry_queries(now);
+        self.answer_or_keep(Waiter { query, since: now, reply_to }, now);
     }
 
     /// Answers the queries for which there is news, and those that have waited for long enough.
     pub(super) fn answer_registry_queries(&mut self, now: Tick) {
         let waiters = std::mem::take(&mut self.relay.waiters);
         for waiter in waiters {
-            let has_news = self.relay.confirmed_at.is_none() || self.has_news(waiter.query.after);
-            if !has_news && now.since(waiter.since) < REGISTRY_WAIT {
-                self.relay.waiters.push(waiter);
-                continue;
-            }
-            let update = self.registry_update(waiter.query.after, waiter.since, now);
-            // An entry whose call timed out asks again.
-            if waiter.reply_to.send(update).is_err() {
-                self.shared.counters.count("replies", "too late");
-            }
+            self.answer_or_keep(waiter, now);
+        }
+    }
+
+    fn answer_or_keep(&mut self, waiter: Waiter, now: Tick) {
+        let has_news = self.relay.confirmed_at.is_none() || self.has_news(waiter.query.after);
+        if !has_news && now.since(waiter.since) < REGISTRY_WAIT {
+            self.relay.waiters.push(waiter);
+            return;
+        }
+        let update = self.registry_update(waiter.query.after, waiter.since, now);
+        // An entry whose call timed out asks again.
+        if waiter.reply_to.send(update).is_err() {
+            self.shared.counters.count("replies", "too late");
         }
     }
 
     /// Returns true if this entry knows of a change after `version`, or cannot tell.
     fn has_news(&self, version: Version) -> bool {
         version < self.relay.version
-            && self.relay.changes.since(version).is_none_or(|changes| !changes.is_empty())
+            && self.relay.changes.has_changed_since(version).unwrap_or(true)
     }
 
     /// Returns what is known of the registry and is newer than `after`.
--- a/crates/hold/src/planner/recipient.rs
+++ b/crates/hold/src/planner/recipient.rs
@@ -65,12 +65,13 @@
         previous: Option<&Holder>,
         span: Span,
     ) -> Option<&Holder> {
-        let preferred = preferred
-            .and_then(|instance| self.get(&instance.vm).filter(|it| it.instance == *instance));
+        let preferred = preferred.and_then(|instance| {
+            self.get(&instance.vm).filter(|known| known.instance == *instance)
+        });
         // A target that has restarted under its name keeps the keys it had.
         let restarted = previous.and_then(|previous| {
             let later = self.get(&previous.instance.vm);
-            later.filter(|it| it.instance.started_at_ms > previous.instance.started_at_ms)
+            later.filter(|later| later.instance.started_at_ms > previous.instance.started_at_ms)
         });
         preferred.or(restarted).or_else(|| self.least_utilised(span))
     }
--- a/crates/member/src/change.rs
+++ b/crates/member/src/change.rs
@@ -29,7 +29,7 @@
         self.complete_from = version;
     }
 
-    /// Records a change.
+    /// Records a change. Changes are recorded in the order of their versions.
     pub fn record(&mut self, version: Version, subject: T) {
         self.changes.push_back((version, subject));
         while self.changes.len() > MAX_CHANGES {
@@ -39,13 +39,24 @@
         }
     }
 
+    /// Returns whether anything changed after `version`, or `None` if that is not known. A reader
+    /// asks this for each of its followers, so it looks at the latest change only.
+    #[must_use]
+    pub fn has_changed_since(&self, version: Version) -> Option<bool> {
+        let latest = self.changes.back().map(|(changed_in, _)| *changed_in);
+        self.is_known(version).then(|| latest.is_some_and(|latest| latest > version))
+    }
+
     /// Returns the subjects that changed after `version`, or `None` if that is not known.
     #[must_use]
     pub fn since(&self, version: Version) -> Option<BTreeSet<T>> {
-        let is_known = version >= self.complete_from && version.era() == self.complete_from.era();
-        is_known.then(|| {
+        self.is_known(version).then(|| {
             let newer = self.changes.iter().filter(|(changed_in, _)| *changed_in > version);
             newer.map(|(_, subject)| subject.clone()).collect()
         })
     }
+
+    fn is_known(&self, version: Version) -> bool {
+        version >= self.complete_from && version.era() == self.complete_from.era()
+    }
 }
--- a/crates/member/tests/readers.rs
+++ b/crates/member/tests/readers.rs
@@ -116,6 +116,9 @@
     }
     let expected: BTreeSet<u32> = (5_991..6_000).collect();
     assert_eq!(log.since(version(5_990)), Some(expected));
+    assert_eq!(log.has_changed_since(version(5_998)), Some(true));
+    assert_eq!(log.has_changed_since(version(5_999)), Some(false));
+    assert_eq!(log.has_changed_since(version(12)), None);
     assert_eq!(log.since(version(12)), None, "changes that were dropped");
     let later_era = Version::in_era(Era::from(2), 5_990).expect("a small version");
     assert_eq!(log.since(later_era), None, "a version of another era");
