--- a/crates/hold/tests/planner/rows.rs
+++ b/crates/hold/tests/planner/rows.rs
@@ -32,7 +32,7 @@
     assert!(again.iter().any(|action| matches!(action, Action::Write(_))), "{again:?}");
 }
 
-/// A map that was too long for its row was written again in every round.
+/// The store never accepts a map that is too long, so writing it again helps nobody.
 #[test]
 fn a_rejected_write_is_not_repeated_unchanged() {
     let is_write = |action: &Action| matches!(action, Action::Write(_));
