--- a/review/lib/site_parts.py
+++ b/review/lib/site_parts.py
@@ -13,6 +13,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -579,6 +580,19 @@
         sys.exit(2)
     entries = []
 
+    def end_entries():
+        for entry in entries:
+            if entry.process is not None:
+                entry.process.kill()
+                entry.process.wait()
+
+    def stop(*_):
+        end_entries()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
+
     async def limited():
         with tempfile.TemporaryDirectory() as folder:
             try:
@@ -592,10 +606,7 @@
                 record.write(f"the script failed: {error!r}")
                 code = 2
             finally:
-                for entry in entries:
-                    if entry.process is not None:
-                        entry.process.kill()
-                        entry.process.wait()
+                end_entries()
                 keep = os.environ.get("KEEP_LOGS")
                 if keep:
                     shutil.copytree(folder, keep, dirs_exist_ok=True)
