Log how old the store's word is when an entry learns that a target leaves

A line `late_registry` and the metric `almondworks_registry_answers` tell when the registry is known anew after what was known had become old. `hold::staleness` gives the age of an answer apart from that of a change for it. No logic changes.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -39,6 +39,9 @@
 /// The longest pause after a change of the table of entries.
 const MAX_ENTRIES_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// The source of the registry in the journal, if it is the store.
+pub(crate) const STORE_SOURCE: &str = "store";
+
 /// The number of outages of the store that have ended, returns from a copy included. A long poll
 /// that was in flight during an outage may never be answered, so each change of this number makes
 /// the feeds poll again.
@@ -239,6 +242,8 @@
     /// The version of the store up to which the registry is known; zero if it must be read in full.
     version: Version,
     staleness: Staleness,
+    /// When the store gave its last answer that this entry knows, from itself or another entry.
+    given_at: Option<Tick>,
     /// Whether the last poll of the store failed.
     unavailable: bool,
     last_era: Option<Era>,
@@ -267,6 +272,7 @@
             outage_count,
             version: Version::ZERO,
             staleness: Staleness::default(),
+            given_at: None,
             unavailable: false,
             last_era: None,
             backoff: Backoff::default(),
@@ -285,7 +291,7 @@
             return;
         }
         let name = match source {
-            Source::Store => "store",
+            Source::Store => STORE_SOURCE,
             Source::Entry(reader) => reader.vm.as_str(),
         };
         self.shared.counters.count("registry_sources", "changed");
@@ -325,7 +331,10 @@
             self.outage_count.send_modify(|count| *count += 1);
         }
         let answered_at = sent_at.plus(Duration::from_millis(update.waited_ms));
-        send(&self.inputs, Input::RegistryUpdate { update, answered_at }).await;
+        let age = Duration::from_millis(update.age_ms.unwrap_or_default());
+        self.record_answer(reader.vm.as_str(), sent_at, answered_at.before(age));
+        let reader = reader.vm.clone();
+        send(&self.inputs, Input::RegistryUpdate { reader, update, answered_at }).await;
         true
     }
 
@@ -350,7 +359,11 @@
                 self.backoff.reset();
                 self.version = rows.version;
                 let changed = !rows.rows.is_empty();
-                let changed_at = earliest_change(&mut self.staleness, &rows, sent_at);
+                let received_at = Tick::now();
+                let timing = PollTiming { sent_at, received_at, store_clock: rows.clock };
+                let age = self.staleness.record(timing);
+                self.record_answer(STORE_SOURCE, sent_at, received_at.before(age.of_answer));
+                let changed_at = received_at.before(age.of_change);
                 send(&self.inputs, Input::TargetRows { rows, complete, changed_at }).await;
                 if changed && !complete {
                     let min_pause = MIN_REGISTRY_PAUSE.min(self.pace.max_pause);
@@ -371,6 +384,35 @@
         }
     }
 
+    /// Records when the store gave the answer that has arrived from it or through another entry, and
+    /// logs that the one before was old by then.
+    fn record_answer(&mut self, source: &str, sent_at: Tick, given_at: Tick) {
+        #[derive(Serialize)]
+        struct LateLine<'a> {
+            source: &'a str,
+            version: u64,
+            age_ms: u64,
+            after_ms: u64,
+            new_age_ms: u64,
+        }
+        let Some(last) = self.given_at.replace(given_at) else { return };
+        self.given_at = self.given_at.max(Some(last));
+        let now = Tick::now();
+        let millis = |since: Tick| now.since(since).as_millis() as u64;
+        let is_late = now.since(last) > self.pace.max_age;
+        self.shared.counters.count("registry_answers", if is_late { "late" } else { "in time" });
+        if is_late {
+            let line = LateLine {
+                source,
+                version: self.version.get(),
+                age_ms: millis(last),
+                after_ms: millis(sent_at),
+                new_age_ms: millis(given_at),
+            };
+            self.shared.journal.log("late_registry", &line);
+        }
+    }
+
     /// Counts an outage once a poll is answered after one that was not, or in a new era.
     fn record_poll(&mut self, answered: bool) {
         let era = self.store.known_era();
@@ -383,14 +425,6 @@
     }
 }
 
-/// Returns the earliest moment at which a change in an answer that has just arrived can have
-/// happened.
-fn earliest_change(staleness: &mut Staleness, rows: &Rows, sent_at: Tick) -> Tick {
-    let received_at = Tick::now();
-    let age = staleness.record(PollTiming { sent_at, received_at, store_clock: rows.clock });
-    received_at.before(age)
-}
-
 /// Returns the pause after a change, which grows with the number of entries that poll the store.
 fn pause_after_change(shared: &Shared, min: Duration, max: Duration) -> Duration {
     let entries = shared.snapshot.load().entries as u32;
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -35,8 +35,9 @@
     /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read
     /// in full. The moment counts whenever the input is handled.
     TargetRows { rows: Rows, complete: bool, changed_at: Tick },
-    /// Another entry has answered what changed in the registry, at `answered_at` at the earliest.
-    RegistryUpdate { update: RegistryUpdate, answered_at: Tick },
+    /// The entry `reader` has answered what changed in the registry, at `answered_at` at the
+    /// earliest.
+    RegistryUpdate { reader: Vm, update: RegistryUpdate, answered_at: Tick },
     /// An entry that follows this one asks what has changed in the registry.
     RegistryQuery { query: RegistryQuery, reply_to: oneshot::Sender<RegistryUpdate> },
     /// The registry could not be read.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -256,8 +256,8 @@
                 self.apply_target_rows(rows, complete, changed_at, now);
                 self.answer_registry_queries(now);
             }
-            Input::RegistryUpdate { update, answered_at } => {
-                self.apply_registry_update(update, answered_at);
+            Input::RegistryUpdate { reader, update, answered_at } => {
+                self.apply_registry_update(&reader, update, answered_at, now);
                 self.answer_registry_queries(now);
             }
             Input::RegistryQuery { query, reply_to } => {
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -284,7 +284,8 @@
             reply.targets.filter(|targets| self.wants_targets(now) && !targets.is_empty());
         if let Some(targets) = targets {
             let is_listed = |vm: &Vm| targets.iter().any(|target| target.registration.vm == *vm);
-            self.dirty |= self.registry.retain(is_listed, self.reported_at);
+            let removed = self.registry.retain(is_listed, self.reported_at);
+            self.note_removals(&removed, leader.as_str(), self.reported_at, now);
             for target in targets {
                 let left_at = self.reported_at.before(Duration::from_millis(target.leaving_for_ms));
                 self.dirty |= self.registry.register(target.registration, target.version, left_at);
--- a/crates/edge/src/control/state/relaying.rs
+++ b/crates/edge/src/control/state/relaying.rs
@@ -6,7 +6,7 @@
 //! anyway, since the answer also says how long ago the store confirmed what is known.
 
 use {
-    super::State,
+    super::{State, registering::GONE},
     crate::control::{
         feeds::Following,
         message::{RegistryQuery, RegistryUpdate, Removal, VersionedRegistration},
@@ -175,8 +175,14 @@
         }
     }
 
-    /// Applies what another entry knows of the registry, as of the time `answered_at`.
-    pub(super) fn apply_registry_update(&mut self, update: RegistryUpdate, answered_at: Tick) {
+    /// Applies what the entry `reader` knows of the registry, as of the time `answered_at`.
+    pub(super) fn apply_registry_update(
+        &mut self,
+        reader: &Vm,
+        update: RegistryUpdate,
+        answered_at: Tick,
+        now: Tick,
+    ) {
         let RegistryUpdate { version, age_ms: Some(age_ms), complete, .. } = update else { return };
         let before = |ms: u64| answered_at.before(Duration::from_millis(ms));
         self.registry.record_poll(true, answered_at);
@@ -191,25 +197,29 @@
                 update.registered.iter().any(|target| target.registration.vm == *vm)
                     || update.removed.iter().any(|removal| removal.vm == *vm)
             };
-            self.dirty |= self.registry.retain(is_listed, before(age_ms));
+            let removed = self.registry.retain(is_listed, before(age_ms));
+            self.note_removals(&removed, reader.as_str(), before(age_ms), now);
         }
         let registered_before = self.registry.len();
         for VersionedRegistration { registration, version: row, leaving_for_ms } in
             update.registered
         {
             let (vm, state) = (registration.vm.clone(), registration.state);
-            if self.registry.register(registration, row, before(leaving_for_ms)) {
+            let changed_at = before(leaving_for_ms);
+            if self.registry.register(registration, row, changed_at) {
                 self.relay.record_change(version, &vm);
                 self.dirty = true;
                 if state == RegistrationState::Leaving {
-                    self.log_target(&vm, row, "Leaving");
+                    self.log_change(&vm, "Leaving", reader.as_str(), changed_at, now);
                 }
             }
         }
         for Removal { vm, missing_ms, sequence } in update.removed {
             self.registry.record_sequence(&vm, sequence);
-            if self.registry.remove(&vm, before(missing_ms)) {
+            let removed_at = before(missing_ms);
+            if self.registry.remove(&vm, removed_at) {
                 self.relay.record_change(version, &vm);
+                self.log_change(&vm, GONE, reader.as_str(), removed_at, now);
                 self.dirty = true;
             }
         }
--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -275,15 +275,12 @@
     }
 
     /// Removes every target that a complete read of the registry does not contain. They may have
-    /// been removed as early as `removed_at`. Returns true if any removal is new.
-    pub fn retain(&mut self, is_registered: impl Fn(&Vm) -> bool, removed_at: Tick) -> bool {
-        let missing: Vec<Vm> =
+    /// been removed as early as `removed_at`. Returns those whose removal is new.
+    pub fn retain(&mut self, is_registered: impl Fn(&Vm) -> bool, removed_at: Tick) -> Vec<Vm> {
+        let mut missing: Vec<Vm> =
             self.targets.keys().filter(|vm| !is_registered(vm)).cloned().collect();
-        let mut changed = false;
-        for vm in &missing {
-            changed |= self.remove(vm, removed_at);
-        }
-        changed
+        missing.retain(|vm| self.remove(vm, removed_at));
+        missing
     }
 
     /// Returns true if a target that this process has never seen can be regarded as gone: the
--- a/crates/hold/src/staleness.rs
+++ b/crates/hold/src/staleness.rs
@@ -31,6 +31,15 @@
     pub store_clock: Duration,
 }
 
+/// How old what an answer says can be when it is received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Age {
+    /// The time since the earliest change in it.
+    pub of_change: Duration,
+    /// The time since the store gave it.
+    pub of_answer: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LastAnswer {
     store_clock_micros: i64,
@@ -45,14 +54,15 @@
 }
 
 impl Staleness {
-    /// Records an answer and returns the maximum age of a change in it.
-    pub fn record(&mut self, timing: PollTiming) -> Duration {
+    /// Records an answer and returns how old what it says can be.
+    pub fn record(&mut self, timing: PollTiming) -> Age {
         let store_clock_micros = timing.store_clock.as_micros() as i64;
         let offset_micros = timing.received_at.as_micros() as i64 - store_clock_micros;
         let Some(last) = self.last.filter(|last| last.store_clock_micros <= store_clock_micros)
         else {
             self.last = Some(LastAnswer { store_clock_micros, min_offset_micros: offset_micros });
-            return UNKNOWN_AGE;
+            let of_answer = timing.received_at.since(timing.sent_at);
+            return Age { of_change: UNKNOWN_AGE, of_answer };
         };
         let since_last_micros = store_clock_micros - last.store_clock_micros;
         let min_offset_micros =
@@ -62,6 +72,10 @@
             store_clock_micros - (timing.sent_at.as_micros() as i64 - min_offset_micros);
         let unobserved_micros =
             if waited_micros >= MIN_LONG_POLL_MICROS { 0 } else { since_last_micros };
-        Duration::from_micros((unobserved_micros + offset_micros - min_offset_micros) as u64)
+        let transit_micros = offset_micros - min_offset_micros;
+        Age {
+            of_change: Duration::from_micros((unobserved_micros + transit_micros) as u64),
+            of_answer: Duration::from_micros(transit_micros as u64),
+        }
     }
 }
--- a/crates/hold/tests/staleness.rs
+++ b/crates/hold/tests/staleness.rs
@@ -1,7 +1,7 @@
 //! The staleness of polls of the registry, in tables of answers.
 
 use {
-    hold::staleness::{PollTiming, Staleness},
+    hold::staleness::{Age, PollTiming, Staleness},
     key::clock::Tick,
     std::time::Duration,
 };
@@ -66,7 +66,7 @@
     ];
     for case in cases {
         let mut staleness = Staleness::default();
-        let mut age = Duration::ZERO;
+        let mut age = Age { of_change: Duration::ZERO, of_answer: Duration::ZERO };
         for (sent_ms, received_ms, store_clock_ms) in case.answers {
             age = staleness.record(PollTiming {
                 sent_at: Tick::from((sent_ms + CLOCK_OFFSET_MS) * 1_000),
@@ -75,7 +75,7 @@
             });
         }
         let expected = Duration::from_millis(case.age_ms);
-        let error = age.abs_diff(expected);
+        let error = age.of_change.abs_diff(expected);
         assert!(error <= Duration::from_millis(2), "{}: {age:?}", case.name);
     }
 }
