Count the orders that targets begin in the tests of readers

What callers saw: nothing; a check could not fail. The tests of readers looked in the journals of targets for lines `Ran`, which only the stand-in of the product's own conventions writes. The one of the users' platform writes `Began`. So "orders went to a target that had left" compared two empty sets, and the only check left was that the log names the target as leaving.

`Site::orders_begun` counts what the targets began. The checks are stricter, none is removed.

--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -24,10 +24,11 @@
     },
     standin::{
         caller::{self, Route},
-        journal::{self, Line},
+        journal::{self, Kind, Line},
         rows::RowStore,
     },
     std::{
+        collections::HashSet,
         env, fs,
         path::PathBuf,
         sync::{
@@ -259,6 +260,17 @@
     pub fn journal_lines(&self) -> Vec<Line> {
         journal::read_all(&self.dir).expect("the journals cannot be read")
     }
+
+    /// Returns the ids of the orders that a target has begun to run.
+    #[must_use]
+    pub fn orders_begun(&self, vm: &str) -> HashSet<String> {
+        let lines = self.journal_lines().into_iter().filter(|line| line.vm.as_str() == vm);
+        let order = |line: Line| match line.kind {
+            Kind::Began { id, method, .. } if method == "POST" => id,
+            _ => None,
+        };
+        lines.filter_map(order).collect()
+    }
 }
 
 impl Drop for Site {
--- a/crates/trial/tests/readers.rs
+++ b/crates/trial/tests/readers.rs
@@ -4,9 +4,8 @@
     http::{Request, StatusCode},
     hyper::body::Incoming,
     serde_json::json,
-    standin::{holder, journal::Kind, proxy},
+    standin::{holder, proxy},
     std::{
-        collections::HashSet,
         fs,
         net::{SocketAddr, TcpListener},
         time::Duration,
@@ -59,17 +58,6 @@
     reading
 }
 
-/// Returns the ids of the orders that a target ran.
-fn orders_run(site: &Site, vm: &str) -> HashSet<String> {
-    let lines = site.journal_lines().into_iter().filter(|line| line.vm.as_str() == vm);
-    lines
-        .filter_map(|line| match line.kind {
-            Kind::Ran { id, method, .. } if method == "POST" => id,
-            _ => None,
-        })
-        .collect()
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entries_that_follow_others_learn_what_the_store_says_in_time() {
     let site = Site::start(plan()).await;
@@ -85,14 +73,14 @@
     site.set_target_fault(2, leaving).await;
     wait_until_registered_as_leaving(&site, "t2").await;
     time::sleep(LEAVING_TIME).await;
-    let before = orders_run(&site, "t2");
+    let before = site.orders_begun("t2");
     for entry in 0..ENTRIES {
         for _ in 0..3 {
             let response = site.send(entry, &SiteRequest::order()).await;
             assert!(response.is_served(), "entry {entry}: {response:?}");
         }
     }
-    let after = orders_run(&site, "t2");
+    let after = site.orders_begun("t2");
     assert_eq!(after.len(), before.len(), "orders went to a target that had left");
 }
 
@@ -211,7 +199,7 @@
         let vm = format!("t{target}");
         wait_until_registered_as_leaving(site, &vm).await;
         time::sleep(LEAVING_LIMIT).await;
-        let before = orders_run(site, &vm);
+        let before = site.orders_begun(&vm);
         for entry in entries {
             assert!(
                 knows_leaving(site, *entry, &vm),
@@ -222,7 +210,7 @@
                 assert!(response.is_served(), "entry {entry}: {response:?}");
             }
         }
-        let after = orders_run(site, &vm);
+        let after = site.orders_begun(&vm);
         assert_eq!(after.len(), before.len(), "orders went to {vm}, which had left");
     }
 }
