Ask the store before its last word is too old, whatever the other entries do

What callers saw: requests reached targets after the time for leaving targets was over (DRAIN), from entries that follow another one.

Cause: that a follower hears in time was proved of a model in which each link had a bound. The program had links without one: the body of an answer could arrive for 20 s once its head had come; the age of the store's word counted from the moment at which a busy reader handled it, so its answers looked fresher than they were; and a reader that was first cut off and then lost took six tenths and nine twentieths of the limit, more than all of it.

Change: the bound is kept by the entry that it binds. Its feed knows when the store gave the last word that it has, from whomever it came (by the store's clock, less transit). It asks another entry only if the answer can come before that word is six tenths of the limit old, says how long the answer may wait for news, gives up then whatever part has come, and asks the store. If the store refuses it, the other entry is asked once more. `member::Pace::question` decides. Earlier releases ignore the new field of the question and answer as before.

Why it works: the delay is the age at which the store is asked and one call, whichever links were slow or silent, and how many of them. member::pace plays it with readers that are gone, lost, cut off, both, slow, or trickle; its bounds are unchanged.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -12,7 +12,7 @@
     },
     hold::staleness::{PollTiming, Staleness},
     key::{Era, Version, Vm, clock::Tick},
-    member::{Backoff, Pace, Reader, Source, Sources},
+    member::{Backoff, Pace, Question, Reader, Source, Sources},
     platform::store::{Error, Rows, Store, Table},
     serde::Serialize,
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -208,14 +208,26 @@
             probe = sources.candidate(Tick::now()).map(|reader| feed.probe(reader));
         }
         let source = sources.next();
-        feed.log_source(&source);
-        match source {
-            Source::Entry(reader) => {
-                if !feed.poll_entry(&reader).await {
-                    sources.record_failure(&reader, Tick::now());
+        match (&source, feed.pace.question(feed.given_at, Tick::now())) {
+            (Source::Entry(reader), Some(question)) => {
+                feed.log_source(&source);
+                if !feed.poll_entry(reader, question).await {
+                    sources.record_failure(reader, Tick::now());
                 }
             }
-            Source::Store => feed.poll_store().await,
+            (Source::Entry(reader), None) => {
+                // The entry that is followed may reach the store when this one does not.
+                if !feed.poll_store().await {
+                    let question = feed.pace.late_question(Tick::now());
+                    if !feed.poll_entry(reader, question).await {
+                        sources.record_failure(reader, Tick::now());
+                    }
+                }
+            }
+            (Source::Store, _) => {
+                feed.log_source(&source);
+                feed.poll_store().await;
+            }
         }
     }
 }
@@ -307,21 +319,25 @@
         Probe { reader, task }
     }
 
-    /// Asks another entry what has changed, and returns true if its answer is usable: the store has
-    /// confirmed it a short time ago.
-    async fn poll_entry(&mut self, reader: &Reader) -> bool {
+    /// Asks another entry what has changed, and returns true if its answer is usable: it came in
+    /// time, and the store has confirmed it a short time ago.
+    async fn poll_entry(&mut self, reader: &Reader, question: Question) -> bool {
         let sent_at = Tick::now();
-        let query = RegistryQuery { after: self.version };
-        let Some(update) = self.peers.poll_registry(reader.address, &query).await else {
+        let wait_ms = Some(question.wait.as_millis() as u64);
+        let query = RegistryQuery { after: self.version, wait_ms };
+        let poll = self.peers.poll_registry(reader.address, &query);
+        let Ok(Some(update)) = time::timeout(question.until.since(sent_at), poll).await else {
             self.shared.counters.count("registry_polls", "entry failed");
             return false;
         };
-        let is_recent =
-            update.age_ms.is_some_and(|age_ms| Duration::from_millis(age_ms) <= self.pace.max_age);
-        if !is_recent || update.version.era() < self.version.era() {
+        let answered_at = sent_at.plus(Duration::from_millis(update.waited_ms));
+        let given_at =
+            update.age_ms.map(|age_ms| answered_at.before(Duration::from_millis(age_ms)));
+        let recent = given_at.filter(|at| self.pace.is_recent(*at, Tick::now()));
+        let Some(given_at) = recent.filter(|_| update.version.era() >= self.version.era()) else {
             self.shared.counters.count("registry_polls", "entry outdated");
             return false;
-        }
+        };
         self.shared.counters.count("registry_polls", "entry");
         self.version = self.version.max(update.version);
         self.store.learn_era(update.version.era());
@@ -330,16 +346,14 @@
         if told.is_some_and(|told| told != update.outages) {
             self.outage_count.send_modify(|count| *count += 1);
         }
-        let answered_at = sent_at.plus(Duration::from_millis(update.waited_ms));
-        let age = Duration::from_millis(update.age_ms.unwrap_or_default());
-        self.record_answer(reader.vm.as_str(), sent_at, answered_at.before(age));
+        self.record_answer(reader.vm.as_str(), sent_at, given_at);
         let reader = reader.vm.clone();
         send(&self.inputs, Input::RegistryUpdate { reader, update, answered_at }).await;
         true
     }
 
-    /// Polls the store once, or reads the registry in full.
-    async fn poll_store(&mut self) {
+    /// Polls the store once, or reads the registry in full; returns false if it does not answer.
+    async fn poll_store(&mut self) -> bool {
         let called_at = Tick::now();
         let complete = self.version == Version::ZERO;
         let store = if self.is_followed { &self.reader_store } else { &self.store };
@@ -362,9 +376,11 @@
                 let received_at = Tick::now();
                 let timing = PollTiming { sent_at, received_at, store_clock: rows.clock };
                 let age = self.staleness.record(timing);
-                self.record_answer(STORE_SOURCE, sent_at, received_at.before(age.of_answer));
+                let given_at = received_at.before(age.of_answer);
+                self.record_answer(STORE_SOURCE, sent_at, given_at);
                 let changed_at = received_at.before(age.of_change);
-                send(&self.inputs, Input::TargetRows { rows, complete, changed_at }).await;
+                let input = Input::TargetRows { rows, complete, changed_at, given_at };
+                send(&self.inputs, input).await;
                 if changed && !complete {
                     let min_pause = MIN_REGISTRY_PAUSE.min(self.pace.max_pause);
                     let pause = pause_after_change(&self.shared, min_pause, self.pace.max_pause);
@@ -380,8 +396,10 @@
                 // A copy from a peer may have been applied in between, so the registry is read in
                 // full.
                 self.version = Version::ZERO;
+                return false;
             }
         }
+        true
     }
 
     /// Records when the store gave the answer that has arrived from it or through another entry, and
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -33,8 +33,8 @@
     /// Another entry has answered with a newer routing configuration, or has none.
     RoutingFetched { routing: Option<Routing> },
     /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read
-    /// in full. The moment counts whenever the input is handled.
-    TargetRows { rows: Rows, complete: bool, changed_at: Tick },
+    /// in full. The store said so at `given_at`. The moments count whenever the input is handled.
+    TargetRows { rows: Rows, complete: bool, changed_at: Tick, given_at: Tick },
     /// The entry `reader` has answered what changed in the registry, at `answered_at` at the
     /// earliest.
     RegistryUpdate { reader: Vm, update: RegistryUpdate, answered_at: Tick },
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -168,6 +168,9 @@
 pub(crate) struct RegistryQuery {
     /// The version of the store up to which the entry knows the registry; zero if it does not.
     pub(crate) after: Version,
+    /// How long the answer may wait for news; earlier releases do not tell.
+    #[serde(default)]
+    pub(crate) wait_ms: Option<u64>,
 }
 
 /// A registration that has disappeared.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -248,10 +248,10 @@
             Input::Tick => self.handle_tick(now),
             Input::OperatorRows { rows, at } => self.apply_operator_rows(&rows, at),
             Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
-            Input::TargetRows { rows, complete, changed_at } => {
+            Input::TargetRows { rows, complete, changed_at, given_at } => {
                 self.registry.record_poll(true, now);
                 self.registry.record_era(rows.version.era(), now);
-                self.relay.record_read(rows.version, complete, now);
+                self.relay.record_read(rows.version, complete, given_at);
                 self.relay.is_direct = true;
                 self.apply_target_rows(rows, complete, changed_at, now);
                 self.answer_registry_queries(now);
--- a/crates/edge/src/control/state/relaying.rs
+++ b/crates/edge/src/control/state/relaying.rs
@@ -2,8 +2,9 @@
 //!
 //! A query waits until something in the registry has changed that other entries need: a target that
 //! is new, has moved, leaves or is gone. Heartbeats alone, which change every registration about
-//! once a second, are not passed on. A query that has waited for [`Pace::wait`](member::Pace::wait) is answered
-//! anyway, since the answer also says how long ago the store confirmed what is known.
+//! once a second, are not passed on. A query that has waited for as long as it says, at most
+//! [`Pace::wait`](member::Pace::wait), is answered anyway, since the answer also says how long ago
+//! the store confirmed what is known.
 
 use {
     super::{State, registering::GONE},
@@ -26,6 +27,8 @@
 struct Waiter {
     query: RegistryQuery,
     since: Tick,
+    /// How long it waits for news.
+    wait: Duration,
     reply_to: oneshot::Sender<RegistryUpdate>,
 }
 
@@ -98,7 +101,9 @@
     ) {
         self.relay.asked_at = Some(now);
         self.update_followed(now);
-        self.answer_or_keep(Waiter { query, since: now, reply_to }, now);
+        let max_wait = self.shared.pace().wait;
+        let wait = query.wait_ms.map_or(max_wait, |ms| Duration::from_millis(ms).min(max_wait));
+        self.answer_or_keep(Waiter { query, since: now, wait, reply_to }, now);
     }
 
     /// Tells the feed of the registry whether other entries follow this one.
@@ -119,7 +124,7 @@
 
     fn answer_or_keep(&mut self, waiter: Waiter, now: Tick) {
         let has_news = self.relay.confirmed_at.is_none() || self.has_news(waiter.query.after);
-        if !has_news && now.since(waiter.since) < self.shared.pace().wait {
+        if !has_news && now.since(waiter.since) < waiter.wait {
             self.relay.waiters.push(waiter);
             return;
         }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -10,7 +10,7 @@
   in every entry that knows the same members. Nothing has to be agreed: an entry that is asked
   although others do not take it for a reader answers with what it knows and how old that is.
 - [`Sources`] is what an entry polls next: a reader that answers, or else the store.
-- [`Pace`] is how often that is done, so that news is known everywhere in time.
+- [`Pace`] is how often that is done, and until when, so that news is known everywhere in time.
 - [`Backoff`] is how long an entry waits before it repeats a call that failed.
 - [`ChangeLog`] is what a reader remembers of changes, so that it passes on only those that are new.
 
@@ -33,7 +33,7 @@
 pub use crate::{
     backoff::Backoff,
     change::ChangeLog,
-    pace::Pace,
+    pace::{Pace, Question},
     presence::Presence,
     reader::{Member, Reader, readers},
     roster::Roster,
--- a/crates/member/src/pace.rs
+++ b/crates/member/src/pace.rs
@@ -2,16 +2,19 @@
 //!
 //! A target that leaves may get requests for a bounded time from the store's word on. On the way to
 //! an entry that follows another one, that word passes links that each may be silent or slow. So
-//! every link has a bound of its own, and the bounds add up to less than that time, whichever entry
-//! is lost or cut off while the word is on its way:
+//! the bound is kept where it binds: an entry knows how old the store's last word is, from whomever
+//! it came, and asks the store itself before that word is too old. Then it does not matter which
+//! links were slow or silent, how many of them, or for how long:
 //!
-//! - a reader pauses after a change;
-//! - a reader that is cut off from the store is followed until the store's last word is too old;
-//! - a reader that is lost is noticed once it has not answered a poll.
+//! - an entry asks another one only if the answer can come before the last word is too old;
+//! - it waits no longer than that, whatever part of the answer has come;
+//! - the age of a word counts from the moment at which the store gave it, on each link.
 //!
-//! The rest of the time is for the call to the store that follows, and for the request itself.
+//! The shares for the other links only keep the store from being asked often: a reader pauses after
+//! a change and holds the polls of its followers, and while it does so their words stay recent. The
+//! rest of the time is for the call to the store, and for the request itself.
 
-use std::time::Duration;
+use {key::clock::Tick, std::time::Duration};
 
 /// The share of the time limit for the pause of a reader, in percent.
 const PAUSE_PERCENT: u32 = 25;
@@ -19,7 +22,7 @@
 /// The share for which the store holds the poll of a reader.
 const READER_POLL_PERCENT: u32 = 28;
 
-/// The share that the store's last word to a reader may be old. It covers a pause and a poll.
+/// The share that the store's last word may be old before the store is asked.
 const MAX_AGE_PERCENT: u32 = 60;
 
 /// The share for which a reader holds the poll of a follower.
@@ -28,6 +31,19 @@
 /// The share by which its answer may be late.
 const MARGIN_PERCENT: u32 = 20;
 
+/// The shortest time for which another entry is asked to wait for news, so that it is not asked
+/// again and again in the time that is left.
+const MIN_WAIT: Duration = Duration::from_millis(20);
+
+/// How another entry is asked for news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// How long it waits for news before it answers.
+    pub wait: Duration,
+    /// When its answer is no longer waited for.
+    pub until: Tick,
+}
+
 /// The times that the feed of the registry keeps to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pace {
@@ -39,7 +55,7 @@
     pub wait: Duration,
     /// How much later the answer to such a poll may arrive.
     pub margin: Duration,
-    /// The time since the store's last word to a reader from which its answers are not used.
+    /// The time since the store's last word from which the store itself is asked.
     pub max_age: Duration,
 }
 
@@ -56,4 +72,25 @@
             max_age: share(MAX_AGE_PERCENT),
         }
     }
+
+    /// Returns true if a word that the store gave at `given_at` is recent enough to go by.
+    #[must_use]
+    pub fn is_recent(&self, given_at: Tick, now: Tick) -> bool {
+        now < given_at.plus(self.max_age)
+    }
+
+    /// Returns how to ask another entry for news, or none if its answer could come too late: the
+    /// store gave the last word at `given_at`, or none is known.
+    #[must_use]
+    pub fn question(&self, given_at: Option<Tick>, now: Tick) -> Option<Question> {
+        let until = given_at?.plus(self.max_age);
+        let wait = until.since(now).saturating_sub(self.margin).min(self.wait);
+        (wait >= MIN_WAIT).then_some(Question { wait, until })
+    }
+
+    /// Returns how to ask another entry when the last word is too old and the store does not answer.
+    #[must_use]
+    pub const fn late_question(&self, now: Tick) -> Question {
+        Question { wait: MIN_WAIT, until: now.plus(self.margin) }
+    }
 }
--- a/crates/member/tests/pace.rs
+++ b/crates/member/tests/pace.rs
@@ -2,7 +2,7 @@
 
 use {
     key::{Vm, Zone, clock::Tick},
-    member::{Member, Pace, Reader, Source, Sources, readers},
+    member::{Member, Pace, Question, Reader, Source, Sources, readers},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
@@ -34,6 +34,23 @@
     LostAt(u64),
     /// It does not reach the store any more from that time on, but its followers.
     CutAt(u64),
+    /// It is cut off from the store at the first time, and does not answer from the second on.
+    CutAndLostAt(u64, u64),
+    /// All that it does takes that much longer.
+    Slow(u64),
+    /// Its answers begin, and do not end, from that time on.
+    TrickleFrom(u64),
+}
+
+impl Fate {
+    /// Returns true if the entry answers whether it can be followed.
+    const fn answers_probe(self, now: u64) -> bool {
+        match self {
+            Self::Gone => false,
+            Self::LostAt(at) | Self::CutAndLostAt(_, at) => now < at,
+            Self::Alive | Self::CutAt(_) | Self::Slow(_) | Self::TrickleFrom(_) => true,
+        }
+    }
 }
 
 struct Entry {
@@ -77,44 +94,58 @@
 /// The answer of an entry to a poll, and when it arrives.
 enum Answer {
     News(u64),
-    None(u64),
+    /// There is no news, as the store said at the second time.
+    None(u64, u64),
+    /// There is no answer, or an old one.
     Unusable(u64),
 }
 
 /// Returns what becomes of a poll that an entry which reads the store itself gets at `now`.
-fn ask(fate: Fate, now: u64, pace: Pace) -> Answer {
-    let (wait, margin) = (millis(pace.wait), millis(pace.margin));
+fn ask(fate: Fate, now: u64, question: Question, pace: Pace) -> Answer {
+    let (wait, until) = (millis(question.wait), millis(question.until.since(tick(0))));
+    let delay = if let Fate::Slow(delay) = fate { delay } else { 0 };
     // Its pause began when the change came.
-    let knows_at = CHANGE_AT_MS + millis(pace.max_pause) + CALL_MS;
+    let knows_at = CHANGE_AT_MS + millis(pace.max_pause) + CALL_MS + delay;
     let answers_at = if now >= knows_at { now } else { knows_at.min(now + wait) };
-    match fate {
-        Fate::Gone => return Answer::Unusable(now + wait + margin),
-        Fate::LostAt(at) if at <= answers_at => return Answer::Unusable(now + wait + margin),
-        _ => {}
+    let arrives_at = answers_at + CALL_MS + delay;
+    let cut_at = match fate {
+        Fate::CutAt(at) | Fate::CutAndLostAt(at, _) => at,
+        _ => u64::MAX,
+    };
+    let lost_at = match fate {
+        Fate::Gone => 0,
+        Fate::LostAt(at) | Fate::CutAndLostAt(_, at) | Fate::TrickleFrom(at) => at,
+        _ => u64::MAX,
+    };
+    if lost_at <= answers_at || arrives_at >= until {
+        return Answer::Unusable(until);
     }
-    let cut_at = if let Fate::CutAt(at) = fate { at } else { u64::MAX };
     if knows_at <= answers_at && cut_at > knows_at {
-        return Answer::News(answers_at + CALL_MS);
+        return Answer::News(arrives_at);
     }
-    let answers_at = now + wait;
-    // The store's last word is as old as it can be while all is well, or as the cut. It was spoken
-    // before the pause.
-    let usual_age = millis(pace.max_pause + pace.reader_poll);
-    let last_word_at = cut_at.min(CHANGE_AT_MS);
-    let age = if cut_at < answers_at { answers_at - last_word_at } else { usual_age };
-    if age > millis(pace.max_age) {
-        return Answer::Unusable(answers_at + CALL_MS);
+    // Before the change, its last poll may be about to end. The answer that began its pause was given
+    // just before the change.
+    let poll_begun_at = answers_at - millis(pace.reader_poll) - delay;
+    let last_given_at = if answers_at < CHANGE_AT_MS { poll_begun_at } else { CHANGE_AT_MS };
+    let given_at = last_given_at.min(cut_at);
+    if !pace.is_recent(tick(given_at), tick(arrives_at)) {
+        return Answer::Unusable(arrives_at);
     }
-    Answer::None(answers_at + CALL_MS)
+    Answer::None(arrives_at, given_at)
+}
+
+fn tick(ms: u64) -> Tick {
+    Tick::from(1_000_000 + ms * 1_000)
 }
 
 /// Returns when a follower learns of the change, and how often it called the store until then.
 fn follow(own: &Entry, fleet: &[Entry], pace: Pace, begin_ms: u64) -> (u64, u64) {
     let fates: BTreeMap<&Vm, Fate> = fleet.iter().map(|entry| (&entry.vm, entry.fate)).collect();
-    let tick = |ms: u64| Tick::from(1_000_000 + ms * 1_000);
     let mut sources = Sources::default();
     sources.set_readers(readers(&own.vm, &own.zone, members(fleet)));
     let (mut now, mut store_calls) = (begin_ms, 0);
+    // When the store gave its last answer that the follower knows.
+    let mut given_at = None;
     let mut probe: Option<(u64, bool, Reader)> = None;
     loop {
         if let Some((_, is_alive, reader)) = probe.take_if(|(until, ..)| *until <= now) {
@@ -126,36 +157,39 @@
         }
         if probe.is_none() {
             probe = sources.candidate(tick(now)).map(|reader| {
-                let is_alive = match fates[&reader.vm] {
-                    Fate::Gone => false,
-                    Fate::LostAt(at) => now < at,
-                    Fate::Alive | Fate::CutAt(_) => true,
-                };
+                let is_alive = fates[&reader.vm].answers_probe(now);
                 (now + if is_alive { CALL_MS } else { PROBE_MS }, is_alive, reader)
             });
         }
-        match sources.next() {
-            Source::Store => {
+        let question = pace.question(given_at.map(tick), tick(now));
+        match (sources.next(), question) {
+            (Source::Entry(reader), Some(question)) => {
+                match ask(fates[&reader.vm], now, question, pace) {
+                    Answer::News(at) => return (at, store_calls),
+                    Answer::None(at, new) => {
+                        given_at = given_at.max(Some(new));
+                        now = at;
+                    }
+                    Answer::Unusable(at) => {
+                        sources.record_failure(&reader, tick(at));
+                        now = at;
+                    }
+                }
+            }
+            _ => {
                 store_calls += 1;
                 if now + STORE_POLL_MS >= CHANGE_AT_MS {
                     return (now.max(CHANGE_AT_MS) + CALL_MS, store_calls);
                 }
                 now += STORE_POLL_MS;
+                given_at = Some(now);
             }
-            Source::Entry(reader) => match ask(fates[&reader.vm], now, pace) {
-                Answer::News(at) => return (at, store_calls),
-                Answer::None(at) => now = at,
-                Answer::Unusable(at) => {
-                    sources.record_failure(&reader, tick(at));
-                    now = at;
-                }
-            },
         }
     }
 }
 
-/// Guards against news of a leaving target that is late while readers of a zone are gone, are lost
-/// or are cut off from the store.
+/// Guards against news of a leaving target that is late while readers of a zone are gone, lost, cut
+/// off from the store or slow, or several of these.
 #[test]
 fn a_change_is_known_everywhere_in_time_whichever_readers_are_lost() {
     struct Case {
@@ -177,7 +211,16 @@
             let allowed_ms = (limit_ms * (100 - REQUEST_PERCENT) / 100).min(MAX_DELAY_MS);
             for after_ms in (0..4_000).step_by(250) {
                 let at = CHANGE_AT_MS - 2_000 + after_ms;
-                for fate in [Fate::Alive, Fate::LostAt(at), Fate::CutAt(at)] {
+                let fates = [
+                    Fate::Alive,
+                    Fate::LostAt(at),
+                    Fate::CutAt(at),
+                    Fate::CutAndLostAt(at, at + 700),
+                    Fate::CutAndLostAt(at, at + 1_300),
+                    Fate::Slow(after_ms / 4),
+                    Fate::TrickleFrom(at),
+                ];
+                for fate in fates {
                     let mut fleet = fleet(entries, zones, gone);
                     let followed =
                         readers(&fleet[entries - 1].vm, &fleet[entries - 1].zone, members(&fleet));
