Take a missing row for a lapsed one only after a real outage, and among many

Cause: some targets never say that they leave; their row is removed, and the store's acknowledgement of that counts. The registry takes a row that is missing right after an outage for one that has lapsed and will be back, so the target counts as ready for two seconds more. But what counted as an outage was one poll that failed, of this entry or of any that it followed, and it spread from entry to entry. The two seconds began when the entry learned, not when the row went; and the time for a holder to close began after them.

The case "a poll that failed while the store was there" and hold::registry::few_targets_that_are_missing_after_an_outage_have_left are new with the new interface.

Change: an outage is a gap between two answers of the store, from whomever they came, that is long enough for rows to lapse, and rows lapse together: the grace period is given only if more than a quarter of the known targets are missing, or after the store came back from a copy. A target is leaving since its row went, also once a grace period is over; the expectation of one case of the table changes to that, which closes targets earlier. An entry no longer takes over what another one calls an outage; that field is still sent for earlier releases.

--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -199,7 +199,7 @@
     pub(crate) removed: Vec<Removal>,
     /// The number of outages of the store that the entry has seen end.
     pub(crate) outages: u64,
-    /// The time since the last of them ended.
+    /// The time since the last of them ended. Earlier releases take that for their own outage.
     pub(crate) available_ms: Option<u64>,
 }
 
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -249,7 +249,7 @@
             Input::OperatorRows { rows, at } => self.apply_operator_rows(&rows, at),
             Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
             Input::TargetRows { rows, complete, changed_at, given_at } => {
-                self.registry.record_poll(true, now);
+                self.registry.record_answer(given_at);
                 self.registry.record_era(rows.version.era(), now);
                 self.relay.record_read(rows.version, complete, given_at);
                 self.relay.is_direct = true;
@@ -264,7 +264,7 @@
                 self.handle_registry_query(query, reply_to, now);
             }
             Input::TargetsUnavailable => {
-                self.registry.record_poll(false, now);
+                self.registry.record_failure(now);
                 self.relay.record_outage();
                 self.answer_registry_queries(now);
             }
--- a/crates/edge/src/control/state/relaying.rs
+++ b/crates/edge/src/control/state/relaying.rs
@@ -190,11 +190,8 @@
     ) {
         let RegistryUpdate { version, age_ms: Some(age_ms), complete, .. } = update else { return };
         let before = |ms: u64| answered_at.before(Duration::from_millis(ms));
-        self.registry.record_poll(true, answered_at);
+        self.registry.record_answer(before(age_ms));
         self.registry.record_era(version.era(), answered_at);
-        if let Some(available_ms) = update.available_ms {
-            self.registry.record_outage_end(before(available_ms));
-        }
         self.relay.record_read(version, complete, before(age_ms));
         self.relay.is_direct = false;
         if complete {
--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -1,9 +1,11 @@
 //! The registry of targets, as this process last read it from the store.
 //!
 //! A registration can disappear for two reasons that call for opposite reactions: the target left
-//! or failed, or the store had an outage and let registrations expire for lack of heartbeats. So a
-//! registration that is missing right after an outage that this process noticed counts as present
-//! for a short grace period.
+//! or failed, or the store had an outage and let registrations expire for lack of heartbeats. An
+//! outage has this effect only if it lasts for a few heartbeats, and then on all targets alike. So a
+//! registration that is missing right after such an outage counts as present for a short grace
+//! period if many others are missing as well. The failed polls of one busy process are no outage,
+//! and the few targets that are missing after them have left.
 //!
 //! A store that comes back from a copy lists targets as they were some time ago. What a target says
 //! of itself is ordered by its start and its sequence number, so a registration of a later era that
@@ -25,6 +27,16 @@
 /// targets register again.
 const OUTAGE_GRACE_PERIOD: Duration = Duration::from_millis(2_000);
 
+/// How long the store must have been silent for registrations to expire, if a poll of it failed.
+const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// The same, if no poll is known to have failed: no poll waits for so long when all is well.
+const MIN_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// One part in this many of the known targets must be missing after an outage for it to be the
+/// reason.
+const LAPSED_DIVISOR: usize = 4;
+
 /// How long a missing target is kept in the registry.
 const MISSING_RETENTION: Duration = Duration::from_secs(60);
 
@@ -101,10 +113,19 @@
     since: Tick,
     /// The end of the grace period, during which an outage of the store counts as the reason.
     grace_until: Tick,
+    /// Whether the store had come back from a copy, which lacks what was written since.
+    after_restore: bool,
     /// The era of the store in which it disappeared.
     era: Era,
 }
 
+/// The registrations that disappeared in one grace period.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lapse {
+    grace_until: Tick,
+    count: usize,
+}
+
 impl RegisteredTarget {
     /// Returns true if a registration that the store has in `era` is of an earlier run of the
     /// target, or no newer although the target is leaving or was gone before that era began.
@@ -142,10 +163,16 @@
     /// The names of the targets at each address. The planner looks for a later target at the
     /// address of each holder in every round.
     vms_by_address: HashMap<SocketAddr, BTreeSet<Vm>>,
+    /// When the store gave the newest answer that is known here.
+    answered_at: Option<Tick>,
+    /// The targets that the last outage may have cost their registrations.
+    lapse: Lapse,
     /// When an outage of the store began that has not ended.
     unavailable_since: Option<Tick>,
     /// When the last outage ended.
     available_since: Option<Tick>,
+    /// When the store last came back from a copy.
+    restored_at: Option<Tick>,
     /// When the registry was first read.
     first_read_at: Option<Tick>,
     /// The era of the store in which the registry was last read.
@@ -265,13 +292,26 @@
         let outage_end =
             if self.unavailable_since.is_some() { Some(removed_at) } else { self.available_since };
         let grace_until = outage_end.map_or(Tick::default(), |end| end.plus(OUTAGE_GRACE_PERIOD));
-        match self.targets.get_mut(vm) {
-            Some(target) if target.missing.is_none() => {
-                target.missing = Some(Missing { since: removed_at, grace_until, era: self.era });
-                true
+        let known = self.targets.get_mut(vm).filter(|target| target.missing.is_none());
+        let Some(target) = known else { return false };
+        let after_restore = self.restored_at.is_some() && self.restored_at == self.available_since;
+        target.missing =
+            Some(Missing { since: removed_at, grace_until, after_restore, era: self.era });
+        if target.leaving_since.is_none() {
+            if self.lapse.grace_until != grace_until {
+                self.lapse = Lapse { grace_until, count: 0 };
             }
-            _ => false,
+            self.lapse.count += 1;
         }
+        true
+    }
+
+    /// Returns true if an outage may be the reason that a registration is missing: its grace period
+    /// has not ended, and the store came back from a copy, or many others disappeared as well.
+    fn may_have_lapsed(&self, missing: Missing, now: Tick) -> bool {
+        let is_one_of_many = self.lapse.grace_until == missing.grace_until
+            && self.lapse.count * LAPSED_DIVISOR > self.targets.len();
+        now < missing.grace_until && (missing.after_restore || is_one_of_many)
     }
 
     /// Removes every target that a complete read of the registry does not contain. They may have
@@ -297,6 +337,7 @@
     pub fn record_era(&mut self, era: Era, now: Tick) {
         if era > self.era && self.first_read_at.is_some() {
             self.available_since = Some(now);
+            self.restored_at = Some(now);
         }
         self.era = self.era.max(era);
     }
@@ -308,30 +349,28 @@
         }
     }
 
-    /// Records that another process has seen an outage of the store end at `ended_at`.
-    pub fn record_outage_end(&mut self, ended_at: Tick) {
-        self.available_since = self.available_since.max(Some(ended_at));
-    }
-
     /// Returns the time since the last outage ended, if there was one.
     #[must_use]
     pub fn available_for(&self, now: Tick) -> Option<Duration> {
         self.available_since.map(|since| now.since(since))
     }
 
-    /// Records whether the store answered a poll of the registry.
-    pub fn record_poll(&mut self, answered: bool, now: Tick) {
-        if answered {
-            self.first_read_at.get_or_insert(now);
-        }
-        match (answered, self.unavailable_since) {
-            (false, None) => self.unavailable_since = Some(now),
-            (true, Some(_)) => {
-                self.unavailable_since = None;
-                self.available_since = Some(now);
-            }
-            _ => {}
+    /// Records that the store did not answer a poll of the registry.
+    pub fn record_failure(&mut self, now: Tick) {
+        self.unavailable_since.get_or_insert(now);
+    }
+
+    /// Records an answer about the registry that the store gave at `given_at`, to this process or to
+    /// one that passed it on. It ends an outage if the store was silent for long enough before.
+    pub fn record_answer(&mut self, given_at: Tick) {
+        self.first_read_at.get_or_insert(given_at);
+        let failed_at = self.unavailable_since.take();
+        let min_silence = if failed_at.is_some() { MIN_OUTAGE } else { MIN_SILENCE };
+        let silent_since = self.answered_at.or(failed_at);
+        if silent_since.is_some_and(|since| given_at.since(since) >= min_silence) {
+            self.available_since = Some(given_at);
         }
+        self.answered_at = self.answered_at.max(Some(given_at));
     }
 
     /// Returns for how long the registry could not be read; zero if it can.
@@ -381,8 +420,8 @@
     /// Returns whether a target can be used.
     #[must_use]
     pub fn availability(&self, target: &RegisteredTarget, now: Tick) -> Availability {
-        let missing = target.missing.filter(|missing| now >= missing.grace_until);
-        let missing = missing.map(|missing| missing.since.max(missing.grace_until));
+        let missing = target.missing.filter(|missing| !self.may_have_lapsed(*missing, now));
+        let missing = missing.map(|missing| missing.since);
         let registered = target.leaving_since.or(missing);
         let since = [registered, target.said_leaving_at].into_iter().flatten().min();
         since.map_or(Availability::Ready, Availability::Leaving)
--- a/crates/hold/tests/registry.rs
+++ b/crates/hold/tests/registry.rs
@@ -55,8 +55,8 @@
             Event::Removed => {
                 registry.remove(&Vm::from("t"), now);
             }
-            Event::StoreUnavailable => registry.record_poll(false, now),
-            Event::StoreAvailable => registry.record_poll(true, now),
+            Event::StoreUnavailable => registry.record_failure(now),
+            Event::StoreAvailable => registry.record_answer(now),
         }
     }
     let vm = Vm::from("t");
@@ -113,7 +113,19 @@
                 (6, Removed),
             ],
             asked_at_s: 9,
-            leaving_since_ms: Some(8_000),
+            leaving_since_ms: Some(6_000),
+        },
+        Case {
+            name: "is missing after a poll that failed while the store was there",
+            events: vec![
+                (1, Registered(Ready, 1)),
+                (2, StoreAvailable),
+                (3, StoreUnavailable),
+                (3, StoreAvailable),
+                (3, Removed),
+            ],
+            asked_at_s: 4,
+            leaving_since_ms: Some(3_000),
         },
         Case {
             name: "registers again after an outage",
@@ -159,6 +171,54 @@
     }
 }
 
+/// Guards against requests to targets that left while the polls of a busy process failed: their rows
+/// are gone, and were taken for rows that an outage of the store had let expire.
+#[test]
+fn few_targets_that_are_missing_after_an_outage_have_left() {
+    struct LapseCase {
+        name: &'static str,
+        targets: usize,
+        missing: usize,
+        /// Whether the missing ones had said before that they leave.
+        leaving: bool,
+        is_ready: bool,
+    }
+    let cases = [
+        LapseCase { name: "two", targets: 200, missing: 2, leaving: false, is_ready: false },
+        LapseCase { name: "a fifth", targets: 200, missing: 40, leaving: false, is_ready: false },
+        LapseCase { name: "half", targets: 200, missing: 100, leaving: false, is_ready: true },
+        LapseCase { name: "all", targets: 3, missing: 3, leaving: false, is_ready: true },
+        LapseCase {
+            name: "half, leaving",
+            targets: 200,
+            missing: 100,
+            leaving: true,
+            is_ready: false,
+        },
+    ];
+    for case in cases {
+        let mut registry = Registry::default();
+        let vm = |number: usize| Vm::from(format!("t{number}").as_str());
+        for number in 0..case.targets {
+            let is_leaving = case.leaving && number < case.missing;
+            let state = if is_leaving { State::Leaving } else { State::Ready };
+            let shown = Registration { vm: vm(number), ..registration(state, 1) };
+            registry.register(shown, Version::from(number as u64 + 1), tick_at_ms(1_000));
+        }
+        registry.record_answer(tick_at_ms(1_000));
+        registry.record_failure(tick_at_ms(2_000));
+        registry.record_answer(tick_at_ms(6_000));
+        let is_listed = |listed: &Vm| (0..case.missing).all(|number| *listed != vm(number));
+        registry.retain(is_listed, tick_at_ms(5_000));
+        let now = tick_at_ms(6_500);
+        for number in 0..case.missing {
+            let target = registry.get(&vm(number)).expect("a known target");
+            let is_ready = registry.availability(target, now) == Availability::Ready;
+            assert_eq!(is_ready, case.is_ready, "{} missing: target {number}", case.name);
+        }
+    }
+}
+
 #[test]
 fn an_older_registration_is_ignored() {
     let mut registry = Registry::default();
@@ -173,8 +233,8 @@
 fn a_grace_period_that_ends_is_reported() {
     let mut registry = Registry::default();
     registry.register(registration(State::Ready, 1), Version::from(1), tick_at_ms(1_000));
-    registry.record_poll(false, tick_at_ms(2_000));
-    registry.record_poll(true, tick_at_ms(6_000));
+    registry.record_failure(tick_at_ms(2_000));
+    registry.record_answer(tick_at_ms(6_000));
     registry.remove(&Vm::from("t"), tick_at_ms(6_000));
     let span = std::time::Duration::from_millis(500);
     for (ms, expected) in [(6_100, true), (8_200, true), (8_600, false)] {
@@ -196,8 +256,8 @@
 fn the_registry_is_complete_once_it_was_readable_for_the_grace_period() {
     let mut registry = Registry::default();
     let cases = [(500, false), (1_000, false), (2_900, false), (3_100, true)];
-    registry.record_poll(false, tick_at_ms(100));
-    registry.record_poll(true, tick_at_ms(1_000));
+    registry.record_failure(tick_at_ms(100));
+    registry.record_answer(tick_at_ms(1_000));
     for (ms, complete) in cases {
         assert_eq!(registry.is_complete(tick_at_ms(ms)), complete, "at {ms} ms");
     }
@@ -293,7 +353,7 @@
         let mut registry = Registry::default();
         for (index, (era, at_ms, shown)) in case.shown.iter().enumerate() {
             let now = tick_at_ms(*at_ms);
-            registry.record_poll(true, now);
+            registry.record_answer(now);
             registry.record_era(Era::from(*era), now);
             let number = index as u64 + 1;
             let version = Version::in_era(Era::from(*era), number).expect("a small version");
@@ -318,7 +378,7 @@
 #[test]
 fn a_target_that_a_copy_lacks_keeps_its_requests_for_the_grace_period() {
     let mut registry = Registry::default();
-    registry.record_poll(true, tick_at_ms(0));
+    registry.record_answer(tick_at_ms(0));
     registry.record_era(Era::from(1), tick_at_ms(0));
     registry.register(registration(State::Ready, 1), Version::from(3), tick_at_ms(0));
     registry.record_era(Era::from(2), tick_at_ms(5_000));
--- a/crates/trial/src/bin/measure/plan.rs
+++ b/crates/trial/src/bin/measure/plan.rs
@@ -36,7 +36,7 @@
             let version = Version::from(u64::from(number) + 1);
             registry.register(registration(number), version, now);
         }
-        registry.record_poll(true, now);
+        registry.record_answer(now);
         let config = Config {
             grant_duration: Duration::from_millis(7_500),
             renewal_interval: Duration::from_millis(1_500),
