Log each failed read and poll of the registry and of the entries

It began to poll the store at 30.17 s, when its reader was cut off, and knew of nothing new until after 32 s, while its neighbours knew within 0.9 s.

Its log does not say why: only the feed of the operators' table logged what failed, and after how long. The feeds of the registry and of the entries do so now, with the same line. No logic changes.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -134,13 +134,19 @@
 ) {
     let mut backoff = Backoff::default();
     loop {
-        let Ok(rows) = store.read(Table::Entries).await else {
-            wait_to_retry(&mut backoff).await;
-            continue;
+        let sent_at = Tick::now();
+        let rows = match store.read(Table::Entries).await {
+            Ok(rows) => rows,
+            Err(error) => {
+                log_failure(&shared, Table::Entries, sent_at, error);
+                wait_to_retry(&mut backoff).await;
+                continue;
+            }
         };
         let mut version = rows.version;
         send(&inputs, Input::EntryRows { rows, complete: true }).await;
         loop {
+            let sent_at = Tick::now();
             match next_rows(&store, Table::Entries, version, &mut outages).await {
                 Ok(rows) => {
                     backoff.reset();
@@ -157,7 +163,10 @@
                     }
                 }
                 Err(Error::Compacted) => break,
-                Err(Error::Unavailable) => wait_to_retry(&mut backoff).await,
+                Err(error @ Error::Unavailable) => {
+                    log_failure(&shared, Table::Entries, sent_at, error);
+                    wait_to_retry(&mut backoff).await;
+                }
             }
         }
     }
@@ -387,9 +396,13 @@
                     time::sleep(pause).await;
                 }
             }
-            Err(Error::Compacted) => self.version = Version::ZERO,
-            Err(Error::Unavailable) => {
+            Err(error @ Error::Compacted) => {
+                log_failure(&self.shared, Table::Targets, called_at, error);
+                self.version = Version::ZERO;
+            }
+            Err(error @ Error::Unavailable) => {
                 self.shared.counters.count("registry_polls", "store failed");
+                log_failure(&self.shared, Table::Targets, called_at, error);
                 self.record_poll(false);
                 send(&self.inputs, Input::TargetsUnavailable).await;
                 wait_to_retry(&mut self.backoff).await;
