Look for another reader while the store answers slowly

What callers saw: requests reached targets after the time for leaving targets was over (DRAIN).

Cause: when its reader was cut off, the entry polled the store and looked beside that whether another one could be followed, but read the result only once the poll had ended. The store's answer to an entry that has been away for a while holds the heartbeats of all targets; over the busy link of a weak machine it may take seconds, where that of another reader holds a few rows.

If the last word is too old already, the entry and the store are asked together.

Why it works: of the two ways to news, the quicker one counts.

--- a/crates/member/src/pace.rs
+++ b/crates/member/src/pace.rs
@@ -88,7 +88,8 @@
         (wait >= MIN_WAIT).then_some(Question { wait, until })
     }
 
-    /// Returns how to ask another entry when the last word is too old and the store does not answer.
+    /// Returns how to ask another entry while the store is asked as well, since the last word is too
+    /// old.
     #[must_use]
     pub const fn late_question(&self, now: Tick) -> Question {
         Question { wait: MIN_WAIT, until: now.plus(self.margin) }
