Keep the closing time of every target, not only of holders of keys

What callers saw: nothing by itself so far; it adds to a late word.

Cause: a request looks at the closing time of its target again before it is sent, as it may have waited since the choice: for a connection, or for a permit under a rate limit for two fifths of the latency objective. But the closing time was set for the holders in a map only. For a target without keys, and for a former holder, it stayed "never".

Why it works: what is looked at before a send is now updated for each target that a request can have been given. An instance that the registry does not know stays open, as before: it may not have appeared yet.

--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -8,7 +8,7 @@
         traffic::target::Target,
     },
     hold::{
-        Registration,
+        Instance, Registration,
         map::Holder,
         registry::{Availability, State as RegistrationState},
     },
@@ -60,12 +60,16 @@
                 let target = self.pool.get_or_insert_with(&registration.instance(), || {
                     Target::new(&registration, source)
                 });
-                target.condition.set_closing_time(self.closes_at(&registration, now));
                 Some(target)
             };
             let targets = registrations.into_iter().map(to_target).collect();
             snapshot.holders.insert(service, Holders { map, targets });
         }
+        // Requests that were on their way to a target before it left are sent only until it closes,
+        // whether the snapshot still names it or not.
+        for target in self.pool.iter() {
+            target.condition.set_closing_time(self.closes_at(&target.instance, now));
+        }
         snapshot.relays = self.relays();
         snapshot.routing = self.routing.routing().cloned();
         self.shared.publish(snapshot);
@@ -107,8 +111,11 @@
 
     /// Returns the time from which a target gets no more requests, if it is leaving. Until then it
     /// may still get some, while its keys are reassigned.
-    fn closes_at(&self, registration: &Registration, now: Tick) -> Option<Tick> {
-        let registered = self.registry.get(&registration.vm)?;
+    fn closes_at(&self, instance: &Instance, now: Tick) -> Option<Tick> {
+        let registered = self.registry.get(&instance.vm)?;
+        if registered.registration.instance() != *instance {
+            return None;
+        }
         match self.registry.availability(registered, now) {
             Availability::Ready => None,
             Availability::Leaving(since) => Some(since.plus(self.shared.leaving_span())),
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -22,5 +22,7 @@
     fleet::{Fleet, eventually},
     load::{Exchange, Load},
     plan::{FleetPlan, KEYED},
-    site::{Pipeline, ROUTES_WITH_LATER, Site, SitePlan, SiteRequest, SiteResponse},
+    site::{
+        INITIAL_ROUTES, Pipeline, ROUTES_WITH_LATER, Site, SitePlan, SiteRequest, SiteResponse,
+    },
 };
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -80,7 +80,7 @@
 ];
 
 /// The routes that every site starts with.
-const INITIAL_ROUTES: [Route; 2] = [
+pub const INITIAL_ROUTES: [Route; 2] = [
     Route { prefix: "/catalogue/", kind: "safe", service: "catalogue" },
     Route { prefix: "/orders/", kind: "unsafe", service: "orders" },
 ];
@@ -167,6 +167,22 @@
         self.store.write_row("op", "config", routing.to_string().as_bytes());
     }
 
+    /// Writes a version of the routing configuration in which each route allows `objective`
+    /// for an answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in makes a routing text without hosts.
+    pub fn write_patient_routing(&self, version: u64, routes: &[Route], objective: &str) {
+        let mut routing = caller::routing_text(version, HOST_HEADER, routes);
+        let paths = routing["hosts"][0]["paths"].as_array_mut().expect("a list of paths");
+        for path in paths {
+            path["targetLatency"] = objective.into();
+            path["timeout"] = objective.into();
+        }
+        self.store.write_row("op", "config", routing.to_string().as_bytes());
+    }
+
     /// Writes a version of the routing configuration that has `filler` routes more, which no
     /// request uses.
     ///
--- a/crates/trial/tests/leaving.rs
+++ b/crates/trial/tests/leaving.rs
@@ -1,6 +1,7 @@
 //! Targets that leave, and entries that hear of it through a reader in trouble.
 
 use {
+    futures::future::join_all,
     serde_json::{Value, json},
     standin::{holder, proxy},
     std::{
@@ -16,7 +17,7 @@
         net::{TcpListener, TcpStream},
         time,
     },
-    trial::{Site, SitePlan, SiteRequest, eventually},
+    trial::{INITIAL_ROUTES, Site, SitePlan, SiteRequest, eventually},
 };
 
 /// Two entries in each zone, and the rows of a few that rank before them.
@@ -284,3 +285,38 @@
     other.say(Word::GoneAfterOutage(left_at));
     check_closed(&site, left_at).await;
 }
+
+/// Guards against orders that wait for a permit when their target leaves, and are sent to it once its
+/// time is over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_that_wait_for_a_permit_are_not_sent_to_a_target_that_has_left() {
+    const ORDERS: usize = 16;
+    /// Orders wait for a permit for two fifths of it.
+    const OBJECTIVE: &str = "10s";
+    let plan = SitePlan { entries: 1, keyed_targets: 2, unkeyed_targets: 2, ..SitePlan::default() };
+    let site = Site::start(plan).await;
+    site.write_patient_routing(2, &INITIAL_ROUTES, OBJECTIVE);
+    let limited = holder::Fault { limit_per_s: 2, ..holder::Fault::default() };
+    site.set_target_fault(TARGET - 1, limited).await;
+    site.set_target_fault(TARGET, limited).await;
+    let order = SiteRequest { deadline_ms: 4_500, ..SiteRequest::order() };
+    eventually("the entry knows both limits", || async {
+        site.send(0, &order).await;
+        let metrics = site.metrics(0).await;
+        metrics.contains("almondworks_limited_targets 2").then_some(())
+    })
+    .await;
+    let leave = async {
+        let leaving = holder::Fault { draining: true, ..limited };
+        site.set_target_fault(TARGET, leaving).await;
+        let left_at =
+            wait_for_row(&site, |row| row.is_some_and(|row| row.contains("draining"))).await;
+        time::sleep(LEAVING_LIMIT.saturating_sub(left_at.elapsed())).await;
+        site.orders_begun(TARGET_VM)
+    };
+    let orders = join_all((0..ORDERS).map(|_| site.send(0, &order)));
+    let (before, _) = tokio::join!(leave, orders);
+    let late = site.orders_begun(TARGET_VM).difference(&before).count();
+    assert_eq!(late, 0, "orders went to a target that had left");
+    assert!(!before.is_empty(), "the target got no orders");
+}
