Count the age of the routing configuration from the store's answer, not its arrival

An answer of the store with rows of the operators' table confirmed the configuration in it as the newest one as of its arrival. Over a busy link it arrives seconds after the store gave it, when a newer version is long in force.

Change: the feed of the operators' table takes the age of an answer from the store's clock, as that of the registry does. Why it works: the confirmation is no younger than what the store said. It does not make the entry know sooner; it refuses what it cannot know.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -11,6 +11,7 @@
 
 use {
     crate::{control::input::Input, shared::Shared},
+    hold::staleness::{PollTiming, Staleness},
     key::{Version, clock::Tick},
     member::Backoff,
     platform::store::{Error, Rows, Store, Table},
@@ -85,6 +86,7 @@
     shared: Arc<Shared>,
 ) {
     let mut backoff = Backoff::default();
+    let mut staleness = Staleness::default();
     loop {
         let sent_at = Tick::now();
         let rows = match store.read(Table::Operator).await {
@@ -96,6 +98,7 @@
             }
         };
         let mut version = rows.version;
+        staleness.record(PollTiming { sent_at, received_at: Tick::now(), store_clock: rows.clock });
         send(&inputs, Input::OperatorRows { rows, at: sent_at }).await;
         loop {
             let sent_at = Tick::now();
@@ -103,8 +106,12 @@
                 Ok(rows) => {
                     backoff.reset();
                     version = rows.version;
-                    // The store answers a long poll when something changes or the wait is over.
-                    let at = if rows.rows.is_empty() { sent_at } else { Tick::now() };
+                    // The store answers a long poll when something changes or the wait is over, and the
+                    // answer may take long to arrive.
+                    let received_at = Tick::now();
+                    let timing = PollTiming { sent_at, received_at, store_clock: rows.clock };
+                    let given_at = received_at.before(staleness.record(timing).of_answer);
+                    let at = if rows.rows.is_empty() { sent_at } else { given_at };
                     send(&inputs, Input::OperatorRows { rows, at }).await;
                 }
                 Err(Error::Compacted) => break,
--- a/crates/trial/tests/large_routing.rs
+++ b/crates/trial/tests/large_routing.rs
@@ -5,7 +5,7 @@
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     serde_json::{Value, json},
-    standin::proxy,
+    standin::{proxy, rows},
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -198,3 +198,27 @@
     let response = site.send(0, &request_without_route()).await;
     assert_eq!(response.status, Some(StatusCode::NOT_FOUND));
 }
+
+/// Guards against 404 by a configuration that counts as the newest one as of the arrival of an answer
+/// which the store gave long before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_of_the_store_that_arrives_late_confirms_nothing_as_of_then() {
+    /// Longer than a confirmation counts.
+    const LATE_BY: Duration = Duration::from_millis(2_600);
+    const STORE_DELAY_MS: u64 = 5_000;
+    let site = Site::start(SitePlan { entries: 1, ..SitePlan::default() }).await;
+    site.set_store_proxy_fault(0, proxy::Fault { cut_backward: true, ..proxy::Fault::default() });
+    site.write_routing(2, &ROUTES_WITH_LATER[..2]);
+    time::sleep(Duration::from_millis(100)).await;
+    // The later calls are answered too late to matter here.
+    site.store.set_fault(rows::Fault { slow_ms: STORE_DELAY_MS, ..rows::Fault::default() });
+    site.write_routing(3, &ROUTES_WITH_LATER);
+    time::sleep(LATE_BY).await;
+    site.set_store_proxy_fault(0, proxy::Fault::default());
+    eventually("the answer of the store has arrived", || async {
+        site.metrics(0).await.contains("routing_version 2").then_some(())
+    })
+    .await;
+    let response = site.send(0, &SiteRequest::later_order()).await;
+    assert_eq!(response.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+}
