Split the registration and the known target out of the registry

What a target writes of itself and what is known of one target are modules of their own now; moved code only. The tests of the registry pass.

--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -11,12 +11,19 @@
 //! of itself is ordered by its start and its sequence number, so a registration of a later era that
 //! is no newer by these does not bring back a target that is leaving or gone.
 
+mod registration;
+mod target;
+
+pub use self::{
+    registration::{Registration, State},
+    target::RegisteredTarget,
+};
+
 use {
+    self::target::Missing,
     crate::map::Instance,
-    key::{Era, Service, Version, Vm, Zone, clock::Tick},
-    serde::{Deserialize, Serialize},
+    key::{Era, Service, Version, Vm, clock::Tick},
     std::{
-        cmp::Ordering,
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         time::Duration,
@@ -40,50 +47,6 @@
 /// How long a missing target is kept in the registry.
 const MISSING_RETENTION: Duration = Duration::from_secs(60);
 
-/// The state that a target reports of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    /// The target accepts requests.
-    Ready,
-    /// The target will stop soon and accepts no new work.
-    Leaving,
-}
-
-/// The registration of one target.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Registration {
-    /// The name of the target.
-    pub vm: Vm,
-    /// When its process started, in milliseconds of its own clock. It differs for each instance.
-    #[serde(rename = "born")]
-    pub started_at_ms: u64,
-    /// The service that it runs.
-    pub service: Service,
-    /// The address it listens on.
-    pub address: SocketAddr,
-    /// The availability zone it runs in.
-    pub zone: Zone,
-    /// The number of requests it processes concurrently.
-    pub slots: u32,
-    /// The state that it reports.
-    pub state: State,
-    /// How much longer it is slow after its start, in milliseconds.
-    #[serde(rename = "cold_ms")]
-    pub warmup_remaining_ms: u64,
-    /// Grows with each registration that the instance writes.
-    #[serde(default)]
-    pub sequence: u64,
-}
-
-impl Registration {
-    /// Returns the registered instance.
-    #[must_use]
-    pub fn instance(&self) -> Instance {
-        Instance { vm: self.vm.clone(), started_at_ms: self.started_at_ms }
-    }
-}
-
 /// Whether a target can be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
@@ -94,31 +57,6 @@
     Leaving(Tick),
 }
 
-/// A target and what the registry knows of it.
-#[derive(Clone, Debug)]
-pub struct RegisteredTarget {
-    /// Its latest registration.
-    pub registration: Registration,
-    /// The store's version of that registration.
-    pub version: Version,
-    leaving_since: Option<Tick>,
-    /// When it first said in an answer that it leaves, which it cannot take back.
-    said_leaving_at: Option<Tick>,
-    missing: Option<Missing>,
-}
-
-/// A registration that has disappeared.
-#[derive(Clone, Copy, Debug)]
-struct Missing {
-    since: Tick,
-    /// The end of the grace period, during which an outage of the store counts as the reason.
-    grace_until: Tick,
-    /// Whether the store had come back from a copy, which lacks what was written since.
-    after_restore: bool,
-    /// The era of the store in which it disappeared.
-    era: Era,
-}
-
 /// The registrations that disappeared in one grace period.
 #[derive(Clone, Copy, Debug, Default)]
 struct Lapse {
@@ -126,36 +64,6 @@
     count: usize,
 }
 
-impl RegisteredTarget {
-    /// Returns true if a registration that the store has in `era` is of an earlier run of the
-    /// target, or no newer although the target is leaving or was gone before that era began.
-    fn is_copy(&self, registration: &Registration, era: Era) -> bool {
-        if era <= self.version.era() {
-            return false;
-        }
-        let is_over =
-            self.leaving_since.is_some() || self.missing.is_some_and(|missing| missing.era < era);
-        let known = &self.registration;
-        match registration.started_at_ms.cmp(&known.started_at_ms) {
-            Ordering::Less => true,
-            Ordering::Equal => is_over && registration.sequence <= known.sequence,
-            Ordering::Greater => false,
-        }
-    }
-
-    /// Returns when the registration disappeared, at the earliest, if it has.
-    #[must_use]
-    pub fn missing_since(&self) -> Option<Tick> {
-        self.missing.map(|missing| missing.since)
-    }
-
-    /// Returns true if the target was registered when the registry was last read.
-    #[must_use]
-    pub const fn is_registered(&self) -> bool {
-        self.missing.is_none()
-    }
-}
-
 /// The registry of targets.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
