Decode cold starts, loads of targets and evacuations, and say what is asked

The routing configuration states for some services how long a target is cold after its start and how many requests a second it tolerates until then; targets of some services name their load in answers; operators request the evacuation of an availability zone by a row. None of this was decoded, so the parts that act on it had no types to agree on. This adds the types, optional and with defaults, and no behaviour: an entry of the release before ignores the fields, and this one gets none from it.

--- a/crates/conf/src/platform_settings.rs
+++ b/crates/conf/src/platform_settings.rs
@@ -56,6 +56,12 @@
     pub routing_apply: TimeSpan,
     /// The retry budget that all entries share.
     pub retries: Retries,
+    /// How far a cold target may be sent more than its configuration states; without it, no more.
+    #[serde(default)]
+    pub slow_start: SlowStartMargin,
+    /// The time after which the targets of an evacuated availability zone get no more requests.
+    #[serde(default = "default_evacuation")]
+    pub evacuation: TimeSpan,
     /// The maximum duration of a grant that targets accept.
     pub hold_limit: TimeSpan,
     /// The duration of a grant.
@@ -80,6 +86,26 @@
     pub window: TimeSpan,
 }
 
+/// What a cold target gets, at most, in any second: `overshoot` times the rate that its service
+/// states, and `slack` requests.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct SlowStartMargin {
+    /// The factor on the stated rate.
+    pub overshoot: f64,
+    /// The number of requests in addition.
+    pub slack: f64,
+}
+
+impl Default for SlowStartMargin {
+    fn default() -> Self {
+        Self { overshoot: 1.0, slack: 0.0 }
+    }
+}
+
+const fn default_evacuation() -> TimeSpan {
+    TimeSpan::from_millis(5_000)
+}
+
 const fn default_power() -> f64 {
     1.0
 }
@@ -126,6 +152,12 @@
                 "retries: ratio must be from 0 to 1 and extra must not be negative",
             );
         }
+        let SlowStartMargin { overshoot, slack } = settings.slow_start;
+        if !(1.0..=100.0).contains(&overshoot) || !(0.0..=1_000_000.0).contains(&slack) {
+            return contradiction(
+                "slow_start: overshoot must be from 1 to 100 and slack from 0 to 1000000",
+            );
+        }
         if settings.hold.as_millis() == 0 || settings.hold > settings.hold_limit {
             return contradiction("hold must be at least 1ms and at most hold_limit");
         }
--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -67,8 +67,17 @@
     }
 }
 
+/// How long a target is cold after its start, and what it tolerates until then.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// The time after the start for which a target is cold, in milliseconds.
+    pub span_ms: u64,
+    /// The requests per second that a cold target tolerates from all entries together.
+    pub requests_per_s: f64,
+}
+
 /// A service as the routing configuration defines it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The name of the service.
     pub name: Name,
@@ -76,6 +85,9 @@
     pub keyed: bool,
     /// The number of connections that each target accepts from all entries together.
     pub connections: u32,
+    /// What a target tolerates while it is cold, if the operators state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slow_start: Option<SlowStart>,
 }
 
 /// The limits for what a caller may send.
@@ -90,7 +102,7 @@
 }
 
 /// One version of the routing configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Routing {
     /// The version; a higher one replaces a lower one.
     pub version: Version,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod choice;
 pub mod header;
+pub mod load;
 pub mod locate;
 pub mod outcome;
 pub mod quarantine;
@@ -18,6 +19,7 @@
 pub use crate::{
     backpressure::Backpressure,
     budget::Budget,
+    load::Load,
     outcome::{Outcome, Reason, Refusal},
     quarantine::Quarantine,
     reach::Reach,
