Keep which availability zones are evacuated, and move keys out of them

hold::evacuation keeps the zones by what the store and other entries say, with the earliest moment of each row's acknowledgement. Only a newer read of the store ends an evacuation; versions of later eras are newer than all before. The registry counts targets of such a zone as Evacuated, neither ready nor leaving, so the planner gives them no keys and takes theirs with the handover. Releases of evacuated targets run 32 at once, or one for 16 spans of the map, since a key has no holder between its release and its grant.

Tested in virtual time: three tables of events (26 cases), and the planner with 8, 20, 192 and 2,000 targets in four zones, a leader replaced halfway, a second zone, all zones, and a zone taken back. These tests use the new state, so they could not run before it.

--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -117,7 +117,7 @@
             return None;
         }
         match self.registry.availability(registered, now) {
-            Availability::Ready => None,
+            Availability::Ready | Availability::Evacuated => None,
             Availability::Leaving(since) => Some(since.plus(self.shared.leaving_span())),
         }
     }
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod balance;
 pub mod connections;
 pub mod election;
+pub mod evacuation;
 pub mod ledger;
 pub mod map;
 pub mod outbox;
@@ -30,6 +31,7 @@
 pub use crate::{
     connections::Connections,
     election::Election,
+    evacuation::Evacuations,
     ledger::Ledger,
     map::{Assignment, Instance, Map, Span},
     outbox::Outbox,
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -424,13 +424,14 @@
     }
 }
 
-/// Returns true if a holder is leaving, or is unknown to a registry that is complete.
+/// Returns true if a holder is leaving, is in an availability zone that is evacuated, or is unknown
+/// to a registry that is complete.
 fn is_leaving(registry: &Registry, holder: &Holder, now: Tick) -> bool {
     match registry.get(&holder.instance.vm) {
         Some(target) => {
             target.registration.instance() == holder.instance
                 && registry.availability(target, now) != Availability::Ready
         }
-        None => registry.is_complete(now),
+        None => registry.evacuations().contains(&holder.zone) || registry.is_complete(now),
     }
 }
--- a/crates/hold/src/planner/reassignment.rs
+++ b/crates/hold/src/planner/reassignment.rs
@@ -4,12 +4,12 @@
     super::{Action, Outcome, Planner, Reassignment, ReleaseState, is_leaving},
     crate::{
         balance::{self, Candidate, Pending},
-        map::{Assignment, Holdings, Instance, Span},
-        registry::{RegisteredTarget, Registry},
+        map::{Assignment, Holder, Holdings, Instance, Span},
+        registry::{Availability, RegisteredTarget, Registry},
     },
     key::{Fence, clock::Tick},
     smol_str::SmolStr,
-    std::net::SocketAddr,
+    std::{collections::BTreeSet, net::SocketAddr},
 };
 
 /// The number of concurrent reassignments for balance that every service may have.
@@ -21,6 +21,15 @@
 /// The limit of concurrent releases by one target that is leaving.
 const MAX_RELEASES_PER_TARGET: usize = 4;
 
+/// The number of concurrent releases by the targets of evacuated availability zones that every
+/// service may have. The grants of so many begin at once (see [`Outbox`](crate::Outbox)).
+const MIN_EVACUATION_RELEASES: usize = 32;
+
+/// A larger map may have one more concurrent release by such targets for this many spans. A key has
+/// no holder from its release to its grant, so keys leave a zone in several rounds, of which the
+/// bound of some seconds allows a dozen.
+const SPANS_PER_EVACUATION_RELEASE: usize = 16;
+
 impl Planner {
     /// Starts the reassignments that are due and returns their releases.
     pub(super) fn begin_releases(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
@@ -58,31 +67,47 @@
         if self.ready_targets(registry, now).next().is_none() {
             return due;
         }
+        let mut evacuation_room = self.evacuation_room(registry, now);
         for holder in self.map.holders.iter().filter(|holder| is_leaving(registry, holder, now)) {
             let mut releases = self
                 .reassignments
                 .iter()
                 .filter(|reassignment| reassignment.from == holder.instance)
                 .count();
+            let is_evacuated = is_evacuated(registry, holder, now);
+            if is_evacuated && evacuation_room == 0 {
+                continue;
+            }
             let held: Vec<&Assignment> = self.map.held_by(&holder.instance).collect();
             if !self.can_release(&holder.instance, &held, now) {
                 continue;
             }
             for assignment in held {
                 let span = assignment.span;
-                if releases >= MAX_RELEASES_PER_TARGET {
+                if releases >= MAX_RELEASES_PER_TARGET || (is_evacuated && evacuation_room == 0) {
                     break;
                 }
                 if !self.reassignments.iter().any(|reassignment| reassignment.span.overlaps(span)) {
                     let from = holder.instance.clone();
                     due.push(Reassignment::new(span, from, None));
                     releases += 1;
+                    evacuation_room = evacuation_room.saturating_sub(usize::from(is_evacuated));
                 }
             }
         }
         due
     }
 
+    /// Returns how many releases by targets of evacuated availability zones may begin now.
+    fn evacuation_room(&self, registry: &Registry, now: Tick) -> usize {
+        let evacuated =
+            self.map.holders.iter().filter(|holder| is_evacuated(registry, holder, now));
+        let instances: BTreeSet<&Instance> = evacuated.map(|holder| &holder.instance).collect();
+        let begun = self.reassignments.iter().filter(|begun| instances.contains(&begun.from));
+        let limit = self.map.assignments.len() / SPANS_PER_EVACUATION_RELEASE;
+        limit.max(MIN_EVACUATION_RELEASES).saturating_sub(begun.count())
+    }
+
     /// Returns true if keys can be revoked from a target, which holds `held`.
     ///
     /// It must have acknowledged its current fences, so that no former leader can renew there, and
@@ -187,3 +212,9 @@
         }
     }
 }
+
+/// Returns true if a holder would be ready if its availability zone were not evacuated.
+fn is_evacuated(registry: &Registry, holder: &Holder, now: Tick) -> bool {
+    let target = registry.get(&holder.instance.vm);
+    target.is_some_and(|target| registry.availability(target, now) == Availability::Evacuated)
+}
--- a/crates/hold/src/planner/renew.rs
+++ b/crates/hold/src/planner/renew.rs
@@ -64,7 +64,8 @@
     fn is_given_up(&self, registry: &Registry, holder: &Holder, now: Tick) -> bool {
         let is_gone = match registry.get(&holder.instance.vm) {
             Some(target) => {
-                !target.is_registered() && registry.availability(target, now) != Availability::Ready
+                !target.is_registered()
+                    && matches!(registry.availability(target, now), Availability::Leaving(_))
             }
             None => registry.is_complete(now),
         };
--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -21,7 +21,7 @@
 
 use {
     self::target::Missing,
-    crate::map::Instance,
+    crate::{evacuation::Evacuations, map::Instance},
     key::{Era, Service, Version, Vm, clock::Tick},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -55,6 +55,8 @@
     /// The target reports that it is leaving, or its registration is missing, since that instant at
     /// the earliest.
     Leaving(Tick),
+    /// The target is registered as ready, but an operator has evacuated its availability zone.
+    Evacuated,
 }
 
 /// The registrations that disappeared in one grace period.
@@ -85,9 +87,22 @@
     first_read_at: Option<Tick>,
     /// The era of the store in which the registry was last read.
     era: Era,
+    /// The availability zones whose targets must not be used.
+    evacuations: Evacuations,
 }
 
 impl Registry {
+    /// Returns the availability zones that are evacuated.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the availability zones that are evacuated, to record what is heard of them.
+    pub const fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
     /// Records a registration that may have changed as early as `changed_at`. Returns true if the
     /// target was unknown or missing, or if its instance, state or address changed; a heartbeat
     /// alone changes none of these.
@@ -332,14 +347,18 @@
         let missing = missing.map(|missing| missing.since);
         let registered = target.leaving_since.or(missing);
         let since = [registered, target.said_leaving_at].into_iter().flatten().min();
-        since.map_or(Availability::Ready, Availability::Leaving)
+        if let Some(since) = since {
+            return Availability::Leaving(since);
+        }
+        let is_evacuated = self.evacuations.contains(&target.registration.zone);
+        if is_evacuated { Availability::Evacuated } else { Availability::Ready }
     }
 
     /// Returns for how long a target has been leaving, at most.
     #[must_use]
     pub fn leaving_for(&self, target: &RegisteredTarget, now: Tick) -> Duration {
         match self.availability(target, now) {
-            Availability::Ready => Duration::ZERO,
+            Availability::Ready | Availability::Evacuated => Duration::ZERO,
             Availability::Leaving(since) => now.since(since),
         }
     }
--- a/crates/hold/tests/planner/fixture.rs
+++ b/crates/hold/tests/planner/fixture.rs
@@ -3,6 +3,7 @@
 use {
     hold::{
         Action, Instance, Planner, Registration, Registry,
+        evacuation::{Reading, Row},
         planner::{Config, Grant, Outcome, WriteOutcome},
         registry::State,
     },
@@ -59,10 +60,17 @@
 
 impl Fixture {
     pub(crate) fn new(targets: u16) -> Self {
+        Self::in_zones(targets, &["a"])
+    }
+
+    /// Returns a fixture whose targets are spread evenly over zones.
+    pub(crate) fn in_zones(targets: u16, zones: &[&str]) -> Self {
         let mut registry = Registry::default();
         for number in 1..=targets {
             let version = Version::from(u64::from(number));
-            registry.register(registration(number, 1, State::Ready), version, tick_at_ms(0));
+            let zone = Zone::from(zones[usize::from(number) % zones.len()]);
+            let registration = Registration { zone, ..registration(number, 1, State::Ready) };
+            registry.register(registration, version, tick_at_ms(0));
         }
         let planner = Planner::new(Service::from("keyed"), config(), None, tick_at_ms(0));
         let mut fixture =
@@ -81,6 +89,20 @@
         self.registry.register(registration, Version::from(self.version), tick_at_ms(self.now_ms));
     }
 
+    /// Has the registry read that these zones are evacuated, and no others.
+    pub(crate) fn evacuate(&mut self, zones: &[&str]) {
+        self.version += 1;
+        let (version, now) = (Version::from(self.version), tick_at_ms(self.now_ms));
+        let to_row = |zone: &&str| Row { zone: Zone::from(*zone), version, is_requested: true };
+        self.registry.evacuations_mut().record_read(Reading {
+            version,
+            complete: true,
+            changed_at: now,
+            newest_at: now,
+            rows: zones.iter().map(to_row).collect(),
+        });
+    }
+
     pub(crate) fn commit_write(&mut self) {
         self.version += 1;
         self.planner.record_write(WriteOutcome::Committed(Version::from(self.version)));
