Obey operators who evacuate availability zones in each entry

Requests went on to the targets of an evacuated zone: the rows were read with the operators' table and ignored.

Holders of keys in the zone, and requests on their way, are stopped by the closing time that is checked right before each send: the earliest moment of the acknowledgement plus the setting evacuation, less 1 s. Reports and replies carry the zones with version and age in a new optional field, for entries that the store turns away. A service whose targets are all in evacuated zones refuses requests at once, as not run and with Retry-After, and the entry stays ready. Metrics and the log line evacuation say what is requested, obeyed and left.

trial::evacuation has two tests with three entries and twelve targets, one entry cut off from the store.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -98,8 +98,11 @@
             }
         };
         let mut version = rows.version;
-        staleness.record(PollTiming { sent_at, received_at: Tick::now(), store_clock: rows.clock });
-        send(&inputs, Input::OperatorRows { rows, at: sent_at }).await;
+        let received_at = Tick::now();
+        let timing = PollTiming { sent_at, received_at, store_clock: rows.clock };
+        let changed_at = received_at.before(staleness.record(timing).of_change);
+        let input = Input::OperatorRows { rows, complete: true, changed_at, at: sent_at };
+        send(&inputs, input).await;
         loop {
             let sent_at = Tick::now();
             match next_rows(&store, Table::Operator, version, &mut outages).await {
@@ -110,9 +113,12 @@
                     // answer may take long to arrive.
                     let received_at = Tick::now();
                     let timing = PollTiming { sent_at, received_at, store_clock: rows.clock };
-                    let given_at = received_at.before(staleness.record(timing).of_answer);
+                    let age = staleness.record(timing);
+                    let given_at = received_at.before(age.of_answer);
+                    let changed_at = received_at.before(age.of_change);
                     let at = if rows.rows.is_empty() { sent_at } else { given_at };
-                    send(&inputs, Input::OperatorRows { rows, at }).await;
+                    let input = Input::OperatorRows { rows, complete: false, changed_at, at };
+                    send(&inputs, input).await;
                 }
                 Err(Error::Compacted) => break,
                 Err(error @ Error::Unavailable) => {
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -27,9 +27,9 @@
 pub(crate) enum Input {
     /// Time has passed; periodic work may be due.
     Tick,
-    /// The store has answered which rows of the operators' table have changed; they are the newest
-    /// ones as of the time `at`.
-    OperatorRows { rows: Rows, at: Tick },
+    /// The store has answered which rows of the operators' table have changed, at `changed_at` at
+    /// the earliest, or the table was read in full; they are the newest ones as of the time `at`.
+    OperatorRows { rows: Rows, complete: bool, changed_at: Tick, at: Tick },
     /// Another entry has answered with a newer routing configuration, or has none.
     RoutingFetched { routing: Option<Routing> },
     /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -7,7 +7,7 @@
 use {
     crate::control::records::LeadershipRecord,
     hold::{Instance, Map, Registration, map::Delta},
-    key::{Era, Incarnation, Service, Version, Vm, clock::Tick},
+    key::{Era, Incarnation, Service, Version, Vm, Zone, clock::Tick},
     limit::{Rate, Word},
     route::quarantine::{CrashReport, Suspect},
     serde::{Deserialize, Serialize},
@@ -65,6 +65,16 @@
     pub(crate) age_ms: u64,
 }
 
+/// That an operator has evacuated an availability zone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct EvacuationNotice {
+    pub(crate) zone: Zone,
+    /// The version of the row that requests it.
+    pub(crate) version: Version,
+    /// The longest time for which the row may have been acknowledged.
+    pub(crate) age_ms: u64,
+}
+
 /// That a target wants no requests for a while.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct DeferralNotice {
@@ -127,6 +137,9 @@
     /// The targets that said a short time ago that they leave.
     #[serde(default)]
     pub(crate) leaving: Vec<LeavingNotice>,
+    /// The availability zones that are evacuated, as far as the entry knows.
+    #[serde(default)]
+    pub(crate) evacuations: Vec<EvacuationNotice>,
     /// The targets that began since the last report to want nothing.
     #[serde(default)]
     pub(crate) deferrals: Vec<DeferralNotice>,
@@ -226,6 +239,9 @@
     /// The targets that said a short time ago that they leave.
     #[serde(default)]
     pub(crate) leaving: Vec<LeavingNotice>,
+    /// The availability zones that are evacuated, as far as the leader knows.
+    #[serde(default)]
+    pub(crate) evacuations: Vec<EvacuationNotice>,
     /// The number of entries that report, the leader included.
     pub(crate) entries: usize,
     /// The version of the leader's routing configuration.
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -5,6 +5,7 @@
 //! marks the snapshot as outdated, and one new snapshot is published after the input.
 
 mod campaigning;
+mod evacuating;
 mod following;
 pub(crate) mod granting;
 mod leading;
@@ -32,6 +33,7 @@
         shared::Shared,
         snapshot::TargetPool,
     },
+    evacuating::{Answer, Logged},
     granting::GrantBatch,
     hold::{
         Election, Map, Outbox, Registry,
@@ -39,7 +41,7 @@
         recovery::EraClock,
         routing,
     },
-    key::{Era, Process, Service, Version, clock::Tick},
+    key::{Era, Process, Service, Version, Zone, clock::Tick},
     leading::Leadership,
     member::Roster,
     platform::Store,
@@ -98,6 +100,8 @@
     registry: Registry,
     /// What this entry passes on of the registry.
     relay: Relay,
+    /// The evacuations of availability zones that were logged.
+    logged_evacuations: BTreeMap<Zone, Logged>,
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
@@ -181,6 +185,7 @@
             routing_checked_at: Tick::default(),
             registry: Registry::default(),
             relay,
+            logged_evacuations: BTreeMap::new(),
             registry_grew_at: None,
             maps: BTreeMap::new(),
             members: Roster::default(),
@@ -246,7 +251,13 @@
         self.observe_era(now);
         match input {
             Input::Tick => self.handle_tick(now),
-            Input::OperatorRows { rows, at } => self.apply_operator_rows(&rows, at),
+            Input::OperatorRows { rows, complete, changed_at, at } => {
+                // A routing configuration in force lets this entry serve, so the evacuations come
+                // first.
+                let answer = Answer { complete, changed_at, newest_at: at };
+                self.apply_evacuation_rows(&rows, answer, now);
+                self.apply_operator_rows(&rows, at);
+            }
             Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
             Input::TargetRows { rows, complete, changed_at, given_at } => {
                 self.registry.record_answer(given_at);
@@ -351,6 +362,7 @@
         self.dirty |= self.members.expire(now);
         self.expire_limits(now);
         self.collect_leaving_instances();
+        self.watch_evacuations(now);
         self.fetch_routing(now);
         self.send_report(now);
         self.dirty |= self.registry.has_grace_period_within(GRACE_PERIOD_TAIL, now);
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -223,6 +223,7 @@
             limit_revision: self.limit_revision,
             unreached_percent: self.shared.unreached_percent(),
             leaving: self.leaving_notices(now),
+            evacuations: self.evacuation_notices(now),
             deferrals: deferrals.into_iter().map(to_notice).collect(),
             wants_suspects: !self.has_leader_told,
         }
@@ -247,6 +248,7 @@
         let Some(reply) = reply else { return };
         let is_leader = self.leadership_record.as_ref().is_some_and(|record| record.vm == *leader);
         if reply.leads && is_leader {
+            self.apply_replied_evacuations(&reply.evacuations, now);
             if let Some(leader) = self.leadership_record.as_ref().map(|record| record.address) {
                 self.hear_routing(reply.routing_version, leader, now);
             }
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -44,6 +44,7 @@
             }
         }
         snapshot.ready = ready;
+        snapshot.evacuated = self.evacuated_services(now);
         for (service, map) in self.maps.clone() {
             let usable_registration = |holder: &Holder| {
                 let Some(registered) = self.registry.get(&holder.instance.vm) else {
@@ -68,7 +69,9 @@
         // Requests that were on their way to a target before it left are sent only until it closes,
         // whether the snapshot still names it or not.
         for target in self.pool.iter() {
-            target.condition.set_closing_time(self.closes_at(&target.instance, now));
+            let leaving = self.closes_at(&target.instance, now);
+            let closes_at = leaving.into_iter().chain(self.evacuated_at(&target.zone)).min();
+            target.condition.set_closing_time(closes_at);
         }
         snapshot.relays = self.relays();
         snapshot.routing = self.routing.routing().cloned();
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -85,6 +85,7 @@
         }
         self.record_heard_limits(report, now);
         self.apply_leaving_notices(&report.leaving, now);
+        self.apply_reported_evacuations(&report.evacuations, now);
         let store_unavailable = self.is_store_unavailable(now);
         let unreached_percent = Some(self.shared.unreached_percent())
             .filter(|percent| !store_unavailable && self.should_yield(*percent, now));
@@ -118,6 +119,7 @@
             resigning,
             unreached_percent,
             leaving: self.leaving_notices(now),
+            evacuations: self.evacuation_notices(now),
             entries: self.entry_count,
             routing_version: self.routing_version(),
             routing_age_ms: self.routing.in_force_at().map(|at| now.since(at).as_millis() as u64),
--- a/crates/edge/src/control/state/routes.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -146,7 +146,8 @@
         tokio::task::spawn_local(async move {
             // The feed reports an unavailable store, and reads everything after a lost history.
             if let Ok(rows) = store.changes(Table::Operator, after).await {
-                send(&inputs, Input::OperatorRows { rows, at: now }).await;
+                let (complete, changed_at) = (false, Tick::default());
+                send(&inputs, Input::OperatorRows { rows, complete, changed_at, at: now }).await;
             }
         });
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -55,6 +55,11 @@
         lock(&self.counts).insert((name, String::new()), value);
     }
 
+    /// Sets a gauge of a name and a label.
+    pub(crate) fn set_labelled(&self, name: &'static str, label: &str, value: u64) {
+        lock(&self.counts).insert((name, label.to_owned()), value);
+    }
+
     /// Records the latency of a request to a service.
     pub(crate) fn record_latency(&self, service: &str, latency: Duration) {
         let mut latencies = lock(&self.latencies);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -28,6 +28,12 @@
 /// the store's change to this process, and the last request on its way to the target.
 const LEAVING_MARGIN: Duration = Duration::from_millis(400);
 
+/// The part of the time limit for evacuated availability zones that is held back: the last request
+/// on its way to its target, and what an entry cannot know of the age of the operator's row. It is
+/// longer than [`LEAVING_MARGIN`], since a request that is late by a moment breaks the rule, and the
+/// keys of a zone are usually elsewhere long before.
+const EVACUATION_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// What traffic has observed since the control thread last collected it.
 #[derive(Debug, Default)]
 pub(crate) struct Feedback {
@@ -160,6 +166,12 @@
         self.settings.leaving.as_duration().saturating_sub(LEAVING_MARGIN)
     }
 
+    /// Returns the time for which targets of an evacuated availability zone get requests for the keys
+    /// that they hold.
+    pub(crate) fn evacuation_span(&self) -> Duration {
+        self.settings.evacuation.as_duration().saturating_sub(EVACUATION_MARGIN)
+    }
+
     /// Returns the pace at which news of leaving targets spreads.
     pub(crate) fn pace(&self) -> Pace {
         Pace::within(self.settings.leaving.as_duration())
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -5,7 +5,10 @@
     conf::routing::Routing,
     hold::{Instance, Map},
     key::{Service, Version},
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
 };
 
 /// The holders of a keyed service's keys.
@@ -33,6 +36,8 @@
     /// The targets of each service that may get new requests.
     pub(crate) ready: HashMap<Service, Vec<Arc<Target>>>,
     pub(crate) holders: HashMap<Service, Holders>,
+    /// The services whose targets are all in availability zones that are evacuated.
+    pub(crate) evacuated: HashSet<Service>,
     /// The other entries that pass requests on while this one is isolated.
     pub(crate) relays: Vec<Relay>,
     /// The number of entries that share limits, this one included.
@@ -57,9 +62,9 @@
         holders.targets.get(usize::from(index)).cloned().flatten()
     }
 
-    /// Returns true if requests can be routed.
+    /// Returns true if requests can be routed, or refused since operators want nothing to be sent.
     pub(crate) fn is_ready(&self) -> bool {
-        self.routing.is_some() && !self.ready.is_empty()
+        self.routing.is_some() && !(self.ready.is_empty() && self.evacuated.is_empty())
     }
 }
 
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -28,6 +28,10 @@
 /// The priority from which the spread grows no more.
 const MAX_SPREAD_RANK: u32 = 3;
 
+/// The time after which callers come back while every target of a service is in an evacuated
+/// availability zone. An operator takes a zone back after minutes, so they find out with few requests.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Attempts<'_> {
     /// Returns the target of the next attempt, with a permit if it names a rate limit. A request
     /// that gets none goes to another target if the service has no keys, or else is refused.
@@ -37,6 +41,10 @@
             self.due_in = Some(due_in + self.spread());
             return Err(self.refusal(Reason::RateLimited));
         }
+        if self.is_evacuated() {
+            self.due_in = Some(EVACUATED_RETRY_AFTER + self.spread());
+            return Err(self.refusal(Reason::Unreachable));
+        }
         for _ in 0..MAX_PERMIT_REQUESTS {
             let target = self.next_target().await?;
             let has_choice = !self.admitted.keyed
@@ -73,6 +81,14 @@
         times?.into_iter().min()
     }
 
+    /// Returns true if nothing may be sent to any target that could serve the request, since
+    /// operators have evacuated their availability zones.
+    fn is_evacuated(&self) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        snapshot.evacuated.contains(&self.admitted.service)
+            && self.choose_target(&snapshot).is_none()
+    }
+
     /// Returns a random delay for the return of a refused caller, longer with a lower priority, so
     /// that callers do not come back all at once.
     fn spread(&self) -> Duration {
--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -215,6 +215,17 @@
         self.change_count.send_modify(|count| *count += 1);
     }
 
+    /// Removes a row without conditions, as the operator does.
+    pub fn remove_row(&self, table: &str, key: &str) {
+        let id = (table.to_owned(), String::new(), key.to_owned());
+        let mut state = self.state();
+        state.version += 1;
+        state.heartbeats.remove(&id);
+        state.record_change(id, None);
+        drop(state);
+        self.change_count.send_modify(|count| *count += 1);
+    }
+
     /// Returns the value of a row.
     #[must_use]
     pub fn read_row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
