--- a/crates/limit/src/board.rs
+++ b/crates/limit/src/board.rs
@@ -70,7 +70,7 @@
         let has_same_candidates = self.candidates == candidates;
         if !has_same_candidates {
             self.candidates = candidates.to_vec();
-            self.coordinators = strongest(candidates);
+            self.coordinators = strongest(candidates, 1);
         }
         let words: Vec<(Instance, Word)> =
             table.words().map(|(target, word)| (target.clone(), word)).collect();
@@ -116,13 +116,14 @@
     }
 }
 
-/// Returns the candidates that may be chosen.
-fn strongest(candidates: &[Candidate]) -> Vec<Candidate> {
+/// Returns the candidates that may be chosen: the strongest, `least` of them at least.
+pub(crate) fn strongest(candidates: &[Candidate], least: usize) -> Vec<Candidate> {
     let mut strongest = candidates.to_vec();
     strongest.sort_by(|a, b| b.power.total_cmp(&a.power).then_with(|| a.vm.cmp(&b.vm)));
-    strongest.truncate((candidates.len() as f64).sqrt().ceil() as usize);
+    strongest.truncate(least.max((candidates.len() as f64).sqrt().ceil() as usize));
     let min_power = strongest.first().map_or(0.0, |first| first.power * MIN_RELATIVE_POWER);
-    strongest.retain(|candidate| candidate.power >= min_power);
+    let count = strongest.iter().take_while(|candidate| candidate.power >= min_power).count();
+    strongest.truncate(count.max(least));
     strongest
 }
 
