Keep until when a target is cold, and tell followers when that begins

The time now counts from when the registration was read, and a target that becomes cold or stays so for a second longer than known counts as a change; its heartbeats do not.

--- a/crates/hold/src/registry.rs
+++ b/crates/hold/src/registry.rs
@@ -20,7 +20,7 @@
 };
 
 use {
-    self::target::Missing,
+    self::target::{Missing, Warmup},
     crate::map::Instance,
     key::{Era, Service, Version, Vm, clock::Tick},
     std::{
@@ -44,6 +44,10 @@
 /// reason.
 const LAPSED_DIVISOR: usize = 4;
 
+/// The time by which the end of a target's warm-up must move for other entries to be told. The time
+/// that a registration takes to be read varies by less.
+const WARMUP_TOLERANCE: Duration = Duration::from_millis(1_000);
+
 /// How long a missing target is kept in the registry.
 const MISSING_RETENTION: Duration = Duration::from_secs(60);
 
@@ -118,17 +122,42 @@
         let same =
             before.filter(|target| target.registration.instance() == registration.instance());
         let said_leaving_at = same.and_then(|target| target.said_leaving_at);
+        let warmup = same.map(|target| target.warmup).unwrap_or_default();
         let target = RegisteredTarget {
             version,
             leaving_since,
             said_leaving_at,
             missing: None,
+            warmup,
             registration,
         };
         self.insert(target);
         is_new
     }
 
+    /// Records what the latest registration of a target says of its warm-up, which counts from the
+    /// time at which it was read. `written_at` is the earliest time at which it can have been
+    /// written, if that is known. Returns true if the target has become cold, or will be for notably
+    /// longer than was known, which other entries need to know.
+    pub fn record_warmup(
+        &mut self,
+        vm: &Vm,
+        version: Version,
+        written_at: Option<Tick>,
+        read_at: Tick,
+    ) -> bool {
+        let target = self.targets.get_mut(vm);
+        let is_unread = |target: &&mut RegisteredTarget| {
+            target.version == version && target.warmup.version != version
+        };
+        let Some(target) = target.filter(is_unread) else { return false };
+        let left = Duration::from_millis(target.registration.warmup_remaining_ms);
+        let cold_until = (!left.is_zero()).then(|| read_at.plus(left));
+        let known = target.warmup.cold_until.unwrap_or_default().max(read_at);
+        target.warmup = Warmup { version, cold_until, written_at };
+        cold_until.is_some_and(|until| until.since(known) > WARMUP_TOLERANCE)
+    }
+
     fn insert(&mut self, target: RegisteredTarget) {
         let (vm, address) = (target.registration.vm.clone(), target.registration.address);
         if let Some(before) = self.targets.insert(vm.clone(), target) {
--- a/crates/hold/src/registry/target.rs
+++ b/crates/hold/src/registry/target.rs
@@ -17,6 +17,19 @@
     /// When it first said in an answer that it leaves, which it cannot take back.
     pub(super) said_leaving_at: Option<Tick>,
     pub(super) missing: Option<Missing>,
+    /// What its latest registration says of its warm-up.
+    pub(super) warmup: Warmup,
+}
+
+/// Until when a target is cold, by its latest registration.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Warmup {
+    /// The version of that registration.
+    pub(super) version: Version,
+    /// None if the target was warm when it wrote the registration.
+    pub(super) cold_until: Option<Tick>,
+    /// When it was written, at the earliest, if that is known.
+    pub(super) written_at: Option<Tick>,
 }
 
 /// A registration that has disappeared.
@@ -54,6 +67,20 @@
         self.missing.map(|missing| missing.since)
     }
 
+    /// Returns until when the target is cold, perhaps an instant that has passed; none if it was warm
+    /// when it wrote its registration.
+    #[must_use]
+    pub const fn cold_until(&self) -> Option<Tick> {
+        self.warmup.cold_until
+    }
+
+    /// Returns when the target wrote its latest registration, at the earliest; the time of boot if
+    /// that is not known.
+    #[must_use]
+    pub fn written_at(&self) -> Tick {
+        self.warmup.written_at.unwrap_or_default()
+    }
+
     /// Returns true if the target was registered when the registry was last read.
     #[must_use]
     pub const fn is_registered(&self) -> bool {
