Send requests to cold targets with permits only

When a target returned, every entry sent to it as soon as it saw it, and a new target of a slow service looked like the fastest one, since its expected latency was a flat 120 ms.

Each request to a target of a service with a slow start now needs a permit while the target is cold or may be. It is asked for where the target is chosen, and attempt::send checks it again right before the request is sent, also for a target that became cold while the connection was opened. Requests with a choice go to cold targets in proportion to their number if a permit is ready, and else to warm ones; those for a key wait for one or are refused with the time of the next. New targets begin with the median latency of their service. Entries ask at /cold-permit, which earlier releases do not know; registrations that are passed on have an optional age. Services without a slow start see no change.

--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -161,6 +161,9 @@
     /// not leaving.
     #[serde(rename = "left_ms")]
     pub(crate) leaving_for_ms: u64,
+    /// The longest time since the target wrote it; earlier releases do not tell.
+    #[serde(default)]
+    pub(crate) written_ms: Option<u64>,
 }
 
 /// The question of an entry that follows this one: what has changed in the registry.
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -70,6 +70,7 @@
 fn call_name(path: &str) -> &'static str {
     let names = [
         permit::PATH,
+        permit::cold::PATH,
         REPORT_PATH,
         CHANGE_PATH,
         LEADER_PATH,
@@ -91,6 +92,9 @@
         permit::PATH if request.method() == Method::POST => {
             permit::handle_call(&shared, request).await
         }
+        permit::cold::PATH if request.method() == Method::POST => {
+            permit::cold::handle_call(&shared, request).await
+        }
         REPORT_PATH if request.method() == Method::POST => {
             let Ok(report) = wire::read_json::<Report>(request, MAX_BODY_BYTES).await else {
                 return wire::status(StatusCode::BAD_REQUEST);
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -19,6 +19,7 @@
 mod routes;
 mod rows;
 mod suspects;
+mod warming;
 
 use {
     crate::{
@@ -350,6 +351,7 @@
         self.update_followed(now);
         self.dirty |= self.members.expire(now);
         self.expire_limits(now);
+        self.expire_warmups(now);
         self.collect_leaving_instances();
         self.fetch_routing(now);
         self.send_report(now);
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -288,7 +288,11 @@
             self.note_removals(&removed, leader.as_str(), self.reported_at, now);
             for target in targets {
                 let left_at = self.reported_at.before(Duration::from_millis(target.leaving_for_ms));
-                self.dirty |= self.registry.register(target.registration, target.version, left_at);
+                let (vm, row) = (target.registration.vm.clone(), target.version);
+                let before = |ms: u64| self.reported_at.before(Duration::from_millis(ms));
+                let written_at = target.written_ms.map(before);
+                self.dirty |= self.registry.register(target.registration, row, left_at);
+                self.dirty |= self.registry.record_warmup(&vm, row, written_at, now);
             }
         }
     }
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -1,7 +1,7 @@
 //! Building the snapshot that traffic reads.
 
 use {
-    super::State,
+    super::{State, warming::usual_latencies},
     crate::{
         control::records::Member,
         snapshot::{Holders, Relay, Snapshot},
@@ -30,15 +30,22 @@
     pub(super) fn publish(&mut self, now: Tick) {
         self.dirty = false;
         self.update_readers();
+        // The data path must know that a target is cold before it can choose it.
+        self.update_warmups(now);
         let source = self.shared.settings.source;
-        let mut snapshot =
-            Snapshot { entries: self.entries_sharing_limits(), ..Snapshot::default() };
+        let mut snapshot = Snapshot {
+            entries: self.entries_sharing_limits(),
+            coordinators: self.coordinators(),
+            usual_latencies: usual_latencies(self.routing.routing().map(AsRef::as_ref), &self.pool),
+            ..Snapshot::default()
+        };
         let mut ready: HashMap<_, Vec<Arc<Target>>> = HashMap::new();
         for registered in self.registry.targets() {
             if self.registry.availability(registered, now) == Availability::Ready {
                 let target =
                     self.pool.get_or_insert_with(&registered.registration.instance(), || {
-                        Target::new(&registered.registration, source)
+                        let usual = snapshot.usual_latencies.get(&registered.registration.service);
+                        Target::new(&registered.registration, source).expecting(usual.copied())
                     });
                 ready.entry(registered.registration.service.clone()).or_default().push(target);
             }
@@ -58,7 +65,8 @@
             let to_target = |registration: Option<Registration>| {
                 let registration = registration?;
                 let target = self.pool.get_or_insert_with(&registration.instance(), || {
-                    Target::new(&registration, source)
+                    let usual = snapshot.usual_latencies.get(&registration.service);
+                    Target::new(&registration, source).expecting(usual.copied())
                 });
                 Some(target)
             };
--- a/crates/edge/src/control/state/registering.rs
+++ b/crates/edge/src/control/state/registering.rs
@@ -60,7 +60,10 @@
                 }
                 Ok(registration) => {
                     let state = format!("{:?}", registration.state);
-                    if self.registry.register(registration, row.version, changed_at) {
+                    let is_new = self.registry.register(registration, row.version, changed_at);
+                    let written_at = Some(changed_at);
+                    let is_cold = self.registry.record_warmup(&vm, row.version, written_at, now);
+                    if is_new || is_cold {
                         self.relay.record_change(version, &vm);
                         self.log_change(&vm, &state, STORE_SOURCE, changed_at, now);
                         self.dirty = true;
@@ -72,6 +75,7 @@
         if self.registry.len() > registered_before {
             self.registry_grew_at = Some(now);
         }
+        self.update_warmups(now);
     }
 
     /// Returns true if the routing configuration names the service of a registration, or is not
--- a/crates/edge/src/control/state/relaying.rs
+++ b/crates/edge/src/control/state/relaying.rs
@@ -12,7 +12,10 @@
         feeds::Following,
         message::{RegistryQuery, RegistryUpdate, Removal, VersionedRegistration},
     },
-    hold::registry::{RegisteredTarget, State as RegistrationState},
+    hold::{
+        Registration,
+        registry::{RegisteredTarget, State as RegistrationState},
+    },
     key::{Version, Vm, clock::Tick},
     member::{ChangeLog, Member},
     std::time::Duration,
@@ -161,11 +164,7 @@
             complete,
             registered: registered
                 .into_iter()
-                .map(|target| VersionedRegistration {
-                    registration: target.registration.clone(),
-                    version: target.version,
-                    leaving_for_ms: millis(self.registry.leaving_for(target, now)),
-                })
+                .map(|target| self.versioned_registration(target, now))
                 .collect(),
             removed: missing
                 .into_iter()
@@ -180,6 +179,26 @@
         }
     }
 
+    /// Returns a registration as it is passed on, with the time for which the target is still cold.
+    pub(super) fn versioned_registration(
+        &self,
+        target: &RegisteredTarget,
+        now: Tick,
+    ) -> VersionedRegistration {
+        let millis = |duration: Duration| duration.as_millis() as u64;
+        let cold_left = target.cold_until().map_or(Duration::ZERO, |until| until.since(now));
+        let is_dated = target.written_at() != Tick::default();
+        VersionedRegistration {
+            registration: Registration {
+                warmup_remaining_ms: millis(cold_left),
+                ..target.registration.clone()
+            },
+            version: target.version,
+            leaving_for_ms: millis(self.registry.leaving_for(target, now)),
+            written_ms: is_dated.then(|| millis(now.since(target.written_at()))),
+        }
+    }
+
     /// Applies what the entry `reader` knows of the registry, as of the time `answered_at`.
     pub(super) fn apply_registry_update(
         &mut self,
@@ -203,12 +222,13 @@
             self.note_removals(&removed, reader.as_str(), before(age_ms), now);
         }
         let registered_before = self.registry.len();
-        for VersionedRegistration { registration, version: row, leaving_for_ms } in
-            update.registered
-        {
+        for listed in update.registered {
+            let VersionedRegistration { registration, version: row, leaving_for_ms, written_ms } =
+                listed;
             let (vm, state) = (registration.vm.clone(), registration.state);
             let changed_at = before(leaving_for_ms);
-            if self.registry.register(registration, row, changed_at) {
+            let is_new = self.registry.register(registration, row, changed_at);
+            if self.registry.record_warmup(&vm, row, written_ms.map(before), now) || is_new {
                 self.relay.record_change(version, &vm);
                 self.dirty = true;
                 if state == RegistrationState::Leaving {
@@ -228,6 +248,7 @@
         if self.registry.len() > registered_before {
             self.registry_grew_at = Some(answered_at);
         }
+        self.update_warmups(now);
     }
 
     /// Tells the feed of the registry which entries to follow. The leader decides by the registry,
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{RecentCrash, State, leading::LastReport},
-    crate::control::message::{LeavingNotice, Reply, Report, VersionedRegistration},
+    crate::control::message::{LeavingNotice, Reply, Report},
     hold::election::is_better_placed,
     key::clock::Tick,
     std::time::{Duration, Instant},
@@ -99,13 +99,7 @@
         self.hear_reported_routing(&report.vm, report.routing, now);
         let targets = (report.wants_targets && !store_unavailable).then(|| {
             let registered = self.registry.targets().filter(|target| target.is_registered());
-            registered
-                .map(|target| VersionedRegistration {
-                    registration: target.registration.clone(),
-                    version: target.version,
-                    leaving_for_ms: self.registry.leaving_for(target, now).as_millis() as u64,
-                })
-                .collect()
+            registered.map(|target| self.versioned_registration(target, now)).collect()
         });
         let suspects = if report.wants_suspects {
             self.shared.quarantine().refused(Instant::now())
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -4,12 +4,14 @@
 //! before each request to that target, so that all of them together keep the limit. While no
 //! coordinator is known or answers, an entry uses its even share of the limit. See crate [`limit`].
 
+pub(crate) mod cold;
+
 use {
     crate::shared::Shared,
     hold::Instance,
     http::StatusCode,
     hyper::{Request as HttpRequest, body::Incoming},
-    key::clock::Tick,
+    key::{Vm, clock::Tick},
     limit::{Limit, Permit, Rate, Request, Word},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -115,7 +117,7 @@
         Ok(Err(error)) => error.to_string(),
         Err(elapsed) => elapsed.to_string(),
     };
-    log_failure(shared, target, coordinator, &error);
+    log_failure(shared, &target.vm, coordinator, &error);
     None
 }
 
@@ -146,13 +148,13 @@
 }
 
 /// Logs that the coordinator of a target did not answer a request for a permit.
-fn log_failure(shared: &Shared, target: &Instance, coordinator: SocketAddr, error: &str) {
+fn log_failure(shared: &Shared, target: &Vm, coordinator: SocketAddr, error: &str) {
     #[derive(Serialize)]
     struct PermitFailureLine<'a> {
         target: &'a str,
         coordinator: SocketAddr,
         error: &'a str,
     }
-    let line = PermitFailureLine { target: target.vm.as_str(), coordinator, error };
+    let line = PermitFailureLine { target: target.as_str(), coordinator, error };
     shared.journal.log("permit_failed", &line);
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -8,7 +8,7 @@
     conf::PlatformSettings,
     hold::Instance,
     key::{Service, clock::Tick},
-    limit::{Change, Rate, Table},
+    limit::{Change, Rate, Table, Warmups},
     member::Pace,
     report::Journal,
     route::{Quarantine, Reach, budget::Window, quarantine::CrashReport},
@@ -74,6 +74,7 @@
     quarantine: Mutex<Quarantine>,
     budgets: Mutex<HashMap<Service, Window>>,
     limits: Mutex<Table>,
+    warmups: Mutex<Warmups>,
     reach: Mutex<Reach<Instance>>,
 }
 
@@ -100,6 +101,7 @@
             quarantine: Mutex::default(),
             budgets: Mutex::default(),
             limits: Mutex::default(),
+            warmups: Mutex::default(),
             reach: Mutex::default(),
         })
     }
@@ -155,6 +157,11 @@
         lock(&self.limits)
     }
 
+    /// Returns the targets that are cold or may be.
+    pub(crate) fn warmups(&self) -> MutexGuard<'_, Warmups> {
+        lock(&self.warmups)
+    }
+
     /// Returns the time for which a target gets requests after it was known to leave.
     pub(crate) fn leaving_span(&self) -> Duration {
         self.settings.leaving.as_duration().saturating_sub(LEAVING_MARGIN)
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -5,7 +5,8 @@
     conf::routing::Routing,
     hold::{Instance, Map},
     key::{Service, Version},
-    std::{collections::HashMap, sync::Arc},
+    limit::Coordinators,
+    std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
 /// The holders of a keyed service's keys.
@@ -37,6 +38,10 @@
     pub(crate) relays: Vec<Relay>,
     /// The number of entries that share limits, this one included.
     pub(crate) entries: usize,
+    /// The entries that give out the permits of cold targets.
+    pub(crate) coordinators: Coordinators,
+    /// The usual latency of each service whose targets have a slow start.
+    pub(crate) usual_latencies: HashMap<Service, Duration>,
 }
 
 impl Snapshot {
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         gather,
+        permit::cold,
         shared::Shared,
         traffic::{
             body::{Body, Stream},
             notice, relay,
             target::{ConnectError, Connection, Reuse, Target},
+            warming,
         },
     },
     bytes::Bytes,
@@ -100,13 +102,15 @@
 
 /// Makes one attempt: sends the request to a target, or to another entry, and receives the
 /// response.
-/// `is_repeated` says that the same one got the request before.
+/// `is_repeated` says that the same one got the request before, and `use_by` until when its permit
+/// for a cold target may be used.
 pub(crate) async fn send(
     shared: &Arc<Shared>,
     call: &Call,
     target: &Arc<Target>,
     way: Way,
     is_repeated: bool,
+    use_by: Option<Tick>,
 ) -> AttemptResult {
     let _in_flight = InFlightGuard::new(target);
     let reuse = match (is_repeated, call.at_most_once) {
@@ -114,10 +118,15 @@
         (false, true) => Reuse::Trusted,
         (false, false) => Reuse::Any,
     };
-    let mut connection = match target.connect(reuse).await {
+    let connected = target.connect(reuse).await;
+    if target.take_lost_connection() {
+        record_lost(shared, target, way);
+    }
+    let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
             record_reach(shared, target, way, false);
+            record_lost(shared, target, way);
             return AttemptResult::Unsent(error);
         }
     };
@@ -135,20 +144,31 @@
     if remaining.is_zero() {
         return AttemptResult::Unsent(ConnectError::Unreachable);
     }
+    // The target may have become cold, or the permit too old.
+    if way == Way::Direct && !cold::is_covered(shared, target, use_by) {
+        connection.release();
+        return AttemptResult::Unsent(ConnectError::Unpermitted);
+    }
     let sent_at = Tick::now();
     let request = outgoing_request(call, target, way, remaining);
     let result = time::timeout(remaining, connection.sender().try_send_request(request)).await;
     let response = match result {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.message().is_some() => {
+            record_lost(shared, target, way);
             return AttemptResult::Unsent(ConnectError::Unreachable);
         }
         Ok(Err(_)) => {
             target.close_idle();
             record_reach(shared, target, way, false);
+            record_lost(shared, target, way);
+            warming::record_unanswered(shared, target);
             return AttemptResult::Lost;
         }
-        Err(_) => return AttemptResult::Late,
+        Err(_) => {
+            warming::record_unanswered(shared, target);
+            return AttemptResult::Late;
+        }
     };
     record_reach(shared, target, way, true);
     receive(shared, call, connection, response, way, sent_at).await
@@ -161,6 +181,13 @@
     }
 }
 
+/// Records that a connection to a target was lost or refused. Another entry is no target.
+fn record_lost(shared: &Shared, target: &Target, way: Way) {
+    if way == Way::Direct {
+        warming::record_lost(shared, target);
+    }
+}
+
 /// Checks that a response belongs to the request, and reads its body or passes it on.
 async fn receive(
     shared: &Arc<Shared>,
@@ -181,6 +208,7 @@
             target.condition.record_taken();
         }
         notice::record(shared, &target, said);
+        warming::record_response(shared, &target, denial == Some(Denial::Shed), sent_at);
         record_limit(shared, &target, response.headers(), sent_at);
     }
     if let Some(denial) = denial {
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -8,6 +8,7 @@
 mod relaying;
 
 use {
+    self::choosing::Permitted,
     crate::{
         shared::Shared,
         traffic::{
@@ -18,6 +19,7 @@
         },
     },
     http::Response,
+    key::clock::Tick,
     platform::header::Denial,
     route::{
         Reason, Refusal,
@@ -117,9 +119,9 @@
                     None => continue,
                 }
             }
-            let target = self.next_permitted_target().await?;
+            let Permitted { target, use_by } = self.next_permitted_target().await?;
             let begun_at = Instant::now();
-            let result = self.send_to(&target).await;
+            let result = self.send_to(&target, use_by).await;
             if !matches!(result, AttemptResult::Unsent(_)) {
                 self.sent += 1;
             }
@@ -188,17 +190,21 @@
         }
     }
 
-    /// Sends the request to a target.
-    async fn send_to(&self, target: &Arc<Target>) -> AttemptResult {
+    /// Sends the request to a target; `use_by` is the time until which its permit for a cold target
+    /// may be used.
+    async fn send_to(&self, target: &Arc<Target>, use_by: Option<Tick>) -> AttemptResult {
         let is_repeated = self.tried.iter().any(|tried| Arc::ptr_eq(tried, target));
-        attempt::send(self.shared, &self.admitted.call, target, Way::Direct, is_repeated).await
+        let call = &self.admitted.call;
+        attempt::send(self.shared, call, target, Way::Direct, is_repeated, use_by).await
     }
 
     /// Tries one other target after a failure response, and returns the failure if that attempt
     /// gets no response.
     async fn final_attempt(&mut self, failure: Response<Body>) -> Result<Response<Body>, Refusal> {
-        let Ok(target) = self.next_permitted_target().await else { return Ok(failure) };
-        let result = self.send_to(&target).await;
+        let Ok(Permitted { target, use_by }) = self.next_permitted_target().await else {
+            return Ok(failure);
+        };
+        let result = self.send_to(&target, use_by).await;
         self.sent += 1;
         match result {
             AttemptResult::Answered(response) => Ok(*response),
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -3,7 +3,10 @@
 use {
     super::{Attempts, TARGET_RETRY_INTERVAL},
     crate::{
-        permit,
+        permit::{
+            self,
+            cold::{self, Grant},
+        },
         snapshot::Snapshot,
         traffic::{choose, target::Target},
     },
@@ -28,24 +31,45 @@
 /// The priority from which the spread grows no more.
 const MAX_SPREAD_RANK: u32 = 3;
 
+/// A target to which the request may be sent.
+pub(super) struct Permitted {
+    pub(super) target: Arc<Target>,
+    /// Until when, if the target is cold.
+    pub(super) use_by: Option<Tick>,
+}
+
 impl Attempts<'_> {
-    /// Returns the target of the next attempt, with a permit if it names a rate limit. A request
-    /// that gets none goes to another target if the service has no keys, or else is refused.
-    pub(super) async fn next_permitted_target(&mut self) -> Result<Arc<Target>, Refusal> {
+    /// Returns the target of the next attempt, with a permit if it names a rate limit or is cold. A
+    /// request that gets none goes to another target if the service has no keys, or else is refused.
+    pub(super) async fn next_permitted_target(&mut self) -> Result<Permitted, Refusal> {
         const MAX_PERMIT_REQUESTS: usize = 3;
         if let Some(due_in) = self.deferred_for() {
             self.due_in = Some(due_in + self.spread());
             return Err(self.refusal(Reason::RateLimited));
         }
-        for _ in 0..MAX_PERMIT_REQUESTS {
+        for index in 0..MAX_PERMIT_REQUESTS {
             let target = self.next_target().await?;
+            // Without a warm target, the last request for a permit may wait for it.
+            let has_other = !self.admitted.keyed && index + 1 < MAX_PERMIT_REQUESTS;
+            let use_by = match self.acquire_cold(&target, has_other).await {
+                Ok(use_by) => use_by,
+                Err(due_in) => {
+                    self.record_failure(&target, "cold");
+                    let due_in = due_in + self.spread();
+                    self.due_in = Some(self.due_in.map_or(due_in, |other| other.min(due_in)));
+                    if !has_other {
+                        break;
+                    }
+                    continue;
+                }
+            };
             let has_choice = !self.admitted.keyed
                 && !self.shared.limits().is_avoided(&target.instance, Tick::now());
             let request = self.permit_request(has_choice);
             match permit::acquire(self.shared, &target.instance, request).await {
                 Permit::After(wait) => {
                     time::sleep(wait).await;
-                    return Ok(target);
+                    return Ok(Permitted { target, use_by });
                 }
                 Permit::Refused(due_in) => {
                     self.record_failure(&target, "rate limited");
@@ -60,6 +84,29 @@
         Err(self.refusal(Reason::RateLimited))
     }
 
+    /// Gets a permit for a target if it is cold or may be, and waits until it is due. Returns until
+    /// when it may be used, or the time after which the next one is due.
+    async fn acquire_cold(
+        &self,
+        target: &Target,
+        has_other: bool,
+    ) -> Result<Option<Tick>, Duration> {
+        let request = self.permit_request(has_other);
+        let Grant { permit, use_by } = cold::acquire(self.shared, target, request).await;
+        match permit {
+            Permit::After(wait) => {
+                if !wait.is_zero() {
+                    time::sleep(wait).await;
+                }
+                Ok(use_by)
+            }
+            Permit::Refused(due_in) => {
+                self.shared.warmups().avoid(&target.instance.vm, due_in, Tick::now());
+                Err(due_in)
+            }
+        }
+    }
+
     /// Returns for how long no target wants the request, if that is known.
     fn deferred_for(&self) -> Option<Duration> {
         let snapshot = self.shared.snapshot.load();
@@ -129,7 +176,11 @@
                         && target.condition.intake(target.in_flight(), false).admits()
                 })
             }
-            _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
+            _ => {
+                let is_refused = self.due_in.is_some();
+                let service = &self.admitted.service;
+                choose::choose_unkeyed(self.shared, snapshot, service, &self.tried, is_refused)
+            }
         }
     }
 }
--- a/crates/edge/src/traffic/attempts/relaying.rs
+++ b/crates/edge/src/traffic/attempts/relaying.rs
@@ -51,7 +51,7 @@
         self.relays.push(Arc::clone(entry));
         let way = Way::Relayed { sent: self.sent };
         let unreached = self.unreached.take();
-        match attempt::send(self.shared, &self.admitted.call, entry, way, false).await {
+        match attempt::send(self.shared, &self.admitted.call, entry, way, false, None).await {
             AttemptResult::Answered(mut response) => {
                 let answer = relay::take_answer(response.headers_mut());
                 let reached = answer != Answer::Unreached;
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -4,7 +4,11 @@
 //! compared all of them, many requests could go to the same target at once.
 
 use {
-    crate::{shared::Shared, snapshot::Snapshot, traffic::target::Target},
+    crate::{
+        shared::Shared,
+        snapshot::Snapshot,
+        traffic::{target::Target, warming},
+    },
     conf::routing::{Route, WeightedService},
     key::{Service, Zone, clock::Tick},
     route::backpressure::Intake,
@@ -33,12 +37,13 @@
 /// Returns the target with the lowest expected cost among a few drawn at random. Targets in `tried`
 /// and those in a back-off are drawn only if there are no others, unreachable ones only if all are.
 /// A target with a rate limit that has not been heard for a while goes first, since only an answer
-/// shows that its limit is over.
+/// shows that its limit is over. `is_refused` says that the request got no permit from a target.
 pub(crate) fn choose_unkeyed(
     shared: &Shared,
     snapshot: &Snapshot,
     service: &Service,
     tried: &[Arc<Target>],
+    is_refused: bool,
 ) -> Option<Arc<Target>> {
     let ready = snapshot.ready.get(service)?;
     let (now, entries) = (Tick::now(), snapshot.entries);
@@ -66,6 +71,7 @@
     if candidates.is_empty() {
         candidates = admitting(ready).collect();
     }
+    warming::narrow(shared, &mut candidates, is_refused, rand::random());
     // Targets that leave by their own word are no longer among `ready` once the control thread
     // knows.
     candidates.retain(|target| !target.condition.is_closed());
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod relay;
 pub(crate) mod server;
 pub(crate) mod target;
+pub(crate) mod warming;
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -13,7 +13,7 @@
         net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -65,6 +65,9 @@
     /// The target said that it wants nothing for a while.
     #[error("the target wants nothing for a while")]
     Deferred,
+    /// The target may be cold, and the request has no permit that can still be used.
+    #[error("the target may be cold and there is no permit")]
+    Unpermitted,
     /// The target does not answer, or the request could not be sent because the connection
     /// closed or the deadline passed.
     #[error("the target cannot be reached")]
@@ -116,6 +119,10 @@
     idle: Mutex<Vec<IdleConnection>>,
     /// The moving average of the latency, in microseconds.
     latency_us: AtomicU64,
+    /// Its value before the first response.
+    initial_latency_us: u64,
+    /// Whether a connection was found closed that was open when it was last used.
+    lost_connection: AtomicBool,
     /// The number of responses since the last report, and the sum of their latencies in
     /// microseconds.
     answer_count: AtomicU32,
@@ -144,12 +151,33 @@
             in_flight: AtomicUsize::new(0),
             idle: Mutex::default(),
             latency_us: AtomicU64::new(INITIAL_LATENCY_US),
+            initial_latency_us: INITIAL_LATENCY_US,
+            lost_connection: AtomicBool::new(false),
             answer_count: AtomicU32::new(0),
             latency_sum_us: AtomicU64::new(0),
             condition: Condition::default(),
         }
     }
 
+    /// Returns the target with the usual latency of its service, if known, as its expected latency.
+    /// With a flat one it would look like the fastest target of a slow service.
+    pub(crate) fn expecting(self, usual: Option<Duration>) -> Self {
+        let initial_latency_us =
+            usual.map_or(self.initial_latency_us, |usual| usual.as_micros() as u64);
+        Self { latency_us: AtomicU64::new(initial_latency_us), initial_latency_us, ..self }
+    }
+
+    /// Returns the moving average of the latency, if the target has responded.
+    pub(crate) fn learned_latency(&self) -> Option<Duration> {
+        let latency_us = self.latency_us.load(Ordering::Relaxed);
+        (latency_us != self.initial_latency_us).then(|| Duration::from_micros(latency_us))
+    }
+
+    /// Returns true, once, if a connection was lost while it was not in use.
+    pub(crate) fn take_lost_connection(&self) -> bool {
+        self.lost_connection.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns an idle connection of those that `reuse` allows, or opens a new one.
     pub(crate) async fn connect(
         self: &Arc<Self>,
@@ -159,6 +187,7 @@
             if channel.sender.is_ready() {
                 return Ok(Connection { target: Arc::clone(self), channel });
             }
+            self.lost_connection.store(true, Ordering::Relaxed);
         }
         let channel = self.open().await.inspect_err(|_| self.record_unreachable())?;
         self.condition.record_reached();
@@ -168,10 +197,13 @@
     /// Removes and returns the idle connection that was used last, and closes those that are too
     /// old.
     fn check_out_idle(&self, reuse: Reuse) -> Option<Channel> {
+        let mut idle = lock(&self.idle);
+        if idle.iter().any(|idle| idle.channel.sender.is_closed()) {
+            self.lost_connection.store(true, Ordering::Relaxed);
+        }
         if reuse == Reuse::None {
             return None;
         }
-        let mut idle = lock(&self.idle);
         idle.retain(|idle| {
             idle.idle_since.elapsed() < MAX_IDLE && !idle.channel.sender.is_closed()
         });
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -44,6 +44,14 @@
     })
 }
 
+/// Adds what a cold target of each service tolerates to a routing text.
+pub fn set_slow_start(routing: &mut Value, cold_start: &str, cold_per_s: f64) {
+    for service in routing["services"].as_array_mut().into_iter().flatten() {
+        service["coldStart"] = json!(cold_start);
+        service["coldPerS"] = json!(cold_per_s);
+    }
+}
+
 /// Returns the headers of a request whose caller waits for `deadline_ms` milliseconds.
 #[must_use]
 pub fn request_headers(
--- a/crates/standin/src/holder.rs
+++ b/crates/standin/src/holder.rs
@@ -53,6 +53,9 @@
     pub queue: usize,
     /// The duration of a request's work, in milliseconds.
     pub work_ms: u64,
+    /// The time after the start for which the target registers as cold, in milliseconds. Unless it
+    /// is zero, each request that arrives is written to the journal.
+    pub cold_ms: u64,
 }
 
 /// The faults to inject and the states to report, set by a POST to `/admin/fault`.
@@ -123,6 +126,7 @@
 pub struct Holder {
     config: Config,
     started_at_ms: u64,
+    started_at: Tick,
     state: Mutex<State>,
     slots: Semaphore,
     waiting_count: AtomicUsize,
@@ -141,7 +145,17 @@
         let slots = Semaphore::new(config.slots);
         let (state, waiting_count) = (Mutex::default(), AtomicUsize::new(0));
         let crash = Crash::default();
-        Arc::new(Self { config, started_at_ms, state, slots, waiting_count, crash, journal })
+        let started_at = Tick::now();
+        Arc::new(Self {
+            config,
+            started_at_ms,
+            started_at,
+            state,
+            slots,
+            waiting_count,
+            crash,
+            journal,
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -169,6 +183,12 @@
         }
     }
 
+    /// Returns for how much longer the target is cold.
+    fn cold_left_ms(&self) -> u64 {
+        let age = Tick::now().since(self.started_at).as_millis() as u64;
+        self.config.cold_ms.saturating_sub(age)
+    }
+
     /// Writes the registration to the store at each interval, forever.
     async fn keep_registered(self: Arc<Self>) {
         let client = wire::Config::default().timeout(REGISTRATION_INTERVAL).build();
@@ -181,7 +201,7 @@
                 "version": "v1",
                 "slots": self.config.slots,
                 "state": if draining { "draining" } else { "ready" },
-                "coldLeft": "0ms",
+                "coldLeft": format!("{}ms", self.cold_left_ms()),
                 "sequence": sequence,
                 "born": self.started_at_ms,
             });
@@ -309,7 +329,8 @@
     /// Runs or refuses a request of a caller, and says in the reply what the target wants.
     async fn handle_caller_request(&self, request: Request<Incoming>) -> Reply {
         let Fault { limit_per_s, says_leaving, retry_after_s, .. } = self.state().fault;
-        if limit_per_s == 0 && !says_leaving && retry_after_s == 0 {
+        let is_plain = limit_per_s == 0 && !says_leaving && retry_after_s == 0;
+        if is_plain && self.config.cold_ms == 0 {
             return self.run_request(request).await;
         }
         let id = header(request.headers(), "attempt-id").map(str::to_owned);
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -124,6 +124,8 @@
     queue: usize,
     #[options(no_short, default = "5", help = "milliseconds of work of a request")]
     work_ms: u64,
+    #[options(no_short, default = "0", help = "milliseconds after the start while it is cold")]
+    cold_ms: u64,
 }
 
 #[derive(Debug, Options)]
@@ -261,6 +263,7 @@
         slots: arguments.slots,
         queue: arguments.queue,
         work_ms: arguments.work_ms,
+        cold_ms: arguments.cold_ms,
     };
     Holder::new(config, journal).serve(listener).await;
     Ok(())
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -167,6 +167,20 @@
         self.store.write_row("op", "config", routing.to_string().as_bytes());
     }
 
+    /// Writes a version of the routing configuration that states for each service how long a target
+    /// is cold, and how many requests a second it tolerates until then.
+    pub fn write_slow_start_routing(
+        &self,
+        version: u64,
+        routes: &[Route],
+        cold_start: &str,
+        cold_per_s: f64,
+    ) {
+        let mut routing = caller::routing_text(version, HOST_HEADER, routes);
+        caller::set_slow_start(&mut routing, cold_start, cold_per_s);
+        self.store.write_row("op", "config", routing.to_string().as_bytes());
+    }
+
     /// Writes a version of the routing configuration in which each route allows `objective`
     /// for an answer.
     ///
--- a/crates/trial/src/site/targets.rs
+++ b/crates/trial/src/site/targets.rs
@@ -95,6 +95,13 @@
         self.targets[index].process = Some(Process::start("standin", &arguments, &log));
     }
 
+    /// Starts a target that is not running, so that it registers as cold for `cold_ms` milliseconds.
+    pub fn start_cold_target(&mut self, index: usize, cold_ms: u64) {
+        let arguments = &mut self.targets[index].arguments;
+        arguments.extend(["--cold-ms".to_owned(), cold_ms.to_string()]);
+        self.start_target(index);
+    }
+
     /// Returns the address that a target registers, which is that of its proxy.
     #[must_use]
     pub fn target_address(&self, index: usize) -> SocketAddr {
