--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -20,6 +20,7 @@
 mod routes;
 mod rows;
 mod suspects;
+mod warming;
 
 use {
     crate::{
@@ -361,6 +362,7 @@
         self.update_followed(now);
         self.dirty |= self.members.expire(now);
         self.expire_limits(now);
+        self.expire_warmups(now);
         self.collect_leaving_instances();
         self.watch_evacuations(now);
         self.fetch_routing(now);
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -5,9 +5,11 @@
     conf::routing::Routing,
     hold::{Instance, Map},
     key::{Service, Version},
+    limit::Coordinators,
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -42,6 +44,10 @@
     pub(crate) relays: Vec<Relay>,
     /// The number of entries that share limits, this one included.
     pub(crate) entries: usize,
+    /// The entries that give out the permits of cold targets.
+    pub(crate) coordinators: Coordinators,
+    /// The usual latency of each service whose targets have a slow start.
+    pub(crate) usual_latencies: HashMap<Service, Duration>,
 }
 
 impl Snapshot {
