Describe keys that are about to leave their holders

Between the release of a key and the next map, requests for it reach a target that does not hold it. Entries can't tell: nothing says that a release has begun. `hold::moves` has the announcement of all moves of a service, what an entry makes of it, and when there is news to announce. Nothing uses it yet.

--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod election;
 pub mod ledger;
 pub mod map;
+pub mod moves;
 pub mod outbox;
 pub mod planner;
 pub mod recovery;
@@ -32,6 +33,7 @@
     election::Election,
     ledger::Ledger,
     map::{Assignment, Instance, Map, Span},
+    moves::Moves,
     outbox::Outbox,
     planner::{Action, Planner},
     registry::{Registration, Registry},
--- a/crates/hold/src/planner/reassignment.rs
+++ b/crates/hold/src/planner/reassignment.rs
@@ -5,6 +5,7 @@
     crate::{
         balance::{self, Candidate, Pending},
         map::{Assignment, Holdings, Instance, Span},
+        moves::Move,
         registry::{RegisteredTarget, Registry},
     },
     key::{Fence, clock::Tick},
@@ -150,6 +151,13 @@
         self.ready_targets(registry, now).filter_map(candidate).collect()
     }
 
+    /// Returns the keys that are being revoked, or were and have no new holder yet.
+    #[must_use]
+    pub fn moves(&self) -> Vec<Move> {
+        let to_move = |begun: &Reassignment| Move { span: begun.span, from: begun.from.clone() };
+        self.reassignments.iter().map(to_move).collect()
+    }
+
     /// Records the result of a release: the handover data of the target, if any, or the failure.
     pub fn record_release(
         &mut self,
