Let a failed release hold up no other of its target

A release without an answer withdrew the acknowledgement of the whole span from which its keys were split. The rest of that span was not granted again while parts of it were being released, so the target gave up no other key until all of its releases had ended or timed out: a hot holder kept its keys for seconds.

Only the acknowledgement of the released keys is withdrawn now. The others were not named by the release, so the target still has them under the same fence.

Test: planner::releases::a_failed_release_does_not_hold_up_the_others_of_its_target, seen failing before.

--- a/crates/hold/src/planner/reassignment.rs
+++ b/crates/hold/src/planner/reassignment.rs
@@ -188,9 +188,9 @@
                 if outcome == Outcome::Ended {
                     self.record_instance_end(instance);
                 }
-                // The target may have released the keys, so its grants are sent again.
-                let session = self.sessions.entry(instance.clone()).or_default();
-                session.acknowledged.retain(|known, _| !known.overlaps(span));
+                // The target may have released the keys, so they are granted again. It still has the
+                // others, of which more may be revoked meanwhile.
+                self.sessions.entry(instance.clone()).or_default().forget_acknowledgement(span);
             }
         }
     }
--- a/crates/hold/src/planner/session.rs
+++ b/crates/hold/src/planner/session.rs
@@ -65,6 +65,15 @@
         }
     }
 
+    /// Forgets that the target acknowledged a fence for the keys of a span.
+    pub(super) fn forget_acknowledgement(&mut self, span: Span) {
+        let acknowledged = std::mem::take(&mut self.acknowledged);
+        let rest = acknowledged.into_iter().flat_map(|(known, fence)| {
+            known.without(span).into_iter().flatten().map(move |rest| (rest, fence))
+        });
+        self.acknowledged = rest.collect();
+    }
+
     /// Records that a command failed, after which only fences above the highest sent are used.
     pub(super) fn record_failure(&mut self, now: Tick) {
         self.failures += 1;
--- a/crates/hold/tests/planner/releases.rs
+++ b/crates/hold/tests/planner/releases.rs
@@ -187,3 +187,42 @@
     let has_write = actions.iter().any(|action| matches!(action, Action::Write(_)));
     assert!(!has_write, "the same keys are assigned again and again");
 }
+
+/// A release without an answer withdrew the acknowledgement of the whole span that its keys came from.
+/// The donor gave up no other key until all of its releases had ended.
+#[test]
+fn a_failed_release_does_not_hold_up_the_others_of_its_target() {
+    let mut fixture = Fixture::new(12);
+    let first_key = 1_000;
+    let hot = |fixture: &mut Fixture| {
+        for key in first_key..first_key + 60 {
+            fixture.planner.load_mut().record_requests(key, 2);
+        }
+    };
+    hot(&mut fixture);
+    let actions = fixture.advance(SETTLE_INTERVAL_MS);
+    let releases: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Release { instance, span, .. } => Some((instance.clone(), *span)),
+            _ => None,
+        })
+        .collect();
+    assert!(releases.len() >= 2, "{actions:?}");
+    let (donor, span) = releases[0].clone();
+    fixture.planner.record_release(&donor, span, Err(Outcome::Lost));
+    let mut released = Vec::new();
+    for _ in 0..4 {
+        hot(&mut fixture);
+        for action in fixture.advance(SETTLE_INTERVAL_MS) {
+            match action {
+                Action::Grant { instance, grants, .. } => {
+                    fixture.record_outcome(&instance, &grants, Outcome::Granted);
+                }
+                Action::Release { instance, span, .. } if instance == donor => released.push(span),
+                _ => {}
+            }
+        }
+    }
+    assert!(!released.is_empty(), "{donor:?} gives up nothing while others are released");
+}
