Tell entries which keys are about to leave their holders

With a release, and when keys stay with their holder after all, the leader sends all entries the list of the service's moves. A release may take 4 s instead of 2: a target of half speed needs 3.3 s to empty a full queue, and one that is given up before leaves its keys without a holder for longer.

--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -3,8 +3,8 @@
 use {
     crate::control::{
         message::{
-            Hello, Knowledge, KnowledgeQuery, MapDelta, RegistryQuery, RegistryUpdate, Reply,
-            Report,
+            Hello, KeyMoves, Knowledge, KnowledgeQuery, MapDelta, RegistryQuery, RegistryUpdate,
+            Reply, Report,
         },
         records::LeadershipRecord,
         state::granting::SentGrants,
@@ -51,6 +51,8 @@
     MapRowsUnavailable,
     /// The leader has committed a change of a map.
     MapDelta(MapDelta),
+    /// The leader has announced which keys are about to leave their holders.
+    KeyMoves(KeyMoves),
     /// This entry's own row is written.
     MemberWritten,
     /// The row with the requests that are refused was written, or not.
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::control::records::LeadershipRecord,
-    hold::{Instance, Map, Registration, map::Delta},
+    hold::{Instance, Map, Registration, map::Delta, moves::Announcement as MoveAnnouncement},
     key::{Era, Incarnation, Service, Version, Vm, clock::Tick},
     limit::{Rate, Word},
     route::quarantine::{CrashReport, Suspect},
@@ -151,6 +151,14 @@
     pub(crate) delta: Delta,
 }
 
+/// The keys of a service that are about to leave their holders.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct KeyMoves {
+    pub(crate) service: Service,
+    #[serde(flatten)]
+    pub(crate) announcement: MoveAnnouncement,
+}
+
 /// A registration with the version of its row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct VersionedRegistration {
--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -18,8 +18,9 @@
 pub(crate) const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The time a release may take until its answer, which the target sends after its requests on these
-/// keys have ended.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// keys have ended. A target with 4 slots and a queue of 16, whose work takes 0.66 s, needs 3.3 s to
+/// empty its queue; a release that is given up before leaves its keys without a holder for longer.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -9,7 +9,7 @@
             feeds::send,
             input::Input,
             message::{
-                Announcement, Hello, Knowledge, KnowledgeQuery, MapDelta, RegistryQuery,
+                Announcement, Hello, KeyMoves, Knowledge, KnowledgeQuery, MapDelta, RegistryQuery,
                 RegistryUpdate, Reply, Report,
             },
         },
@@ -39,6 +39,7 @@
 const MAX_BODY_BYTES: usize = 1 << 20;
 const REPORT_PATH: &str = "/report";
 const CHANGE_PATH: &str = "/change";
+const MOVES_PATH: &str = "/moves";
 const LEADER_PATH: &str = "/lead";
 const HELLO_PATH: &str = "/hello";
 const KNOWLEDGE_PATH: &str = "/knowledge";
@@ -72,6 +73,7 @@
         permit::PATH,
         REPORT_PATH,
         CHANGE_PATH,
+        MOVES_PATH,
         LEADER_PATH,
         HELLO_PATH,
         KNOWLEDGE_PATH,
@@ -106,6 +108,13 @@
             send(&inputs, Input::MapDelta(delta)).await;
             wire::json(StatusCode::OK, &())
         }
+        MOVES_PATH if request.method() == Method::POST => {
+            let Ok(moves) = wire::read_json::<KeyMoves>(request, MAX_BODY_BYTES).await else {
+                return wire::status(StatusCode::BAD_REQUEST);
+            };
+            send(&inputs, Input::KeyMoves(moves)).await;
+            wire::json(StatusCode::OK, &())
+        }
         LEADER_PATH if request.method() == Method::POST => {
             let Ok(announcement) = wire::read_json::<Announcement>(request, MAX_BODY_BYTES).await
             else {
@@ -217,6 +226,12 @@
         self.broadcast(members, CHANGE_PATH, delta).await;
     }
 
+    /// Tells entries which keys are about to leave their holders. One that cannot be reached is told
+    /// with the next change of them, or finds out from the holder.
+    pub(crate) async fn push_moves(&self, members: Vec<SocketAddr>, moves: &KeyMoves) {
+        self.broadcast(members, MOVES_PATH, moves).await;
+    }
+
     /// Announces the leader to entries.
     pub(crate) async fn announce_leadership(
         &self,
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -4,6 +4,7 @@
 //! and to targets run as tasks that send their results back as inputs. Whatever changes for traffic
 //! marks the snapshot as outdated, and one new snapshot is published after the input.
 
+mod announcing;
 mod campaigning;
 mod following;
 pub(crate) mod granting;
@@ -288,6 +289,7 @@
                 }
             }
             Input::MapDelta(delta) => self.apply_map_delta(&delta),
+            Input::KeyMoves(moves) => self.apply_moves(moves, now),
             Input::CampaignResult { record, commit } => {
                 self.handle_campaign_result(record, commit, now);
             }
--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -18,7 +18,7 @@
         orders,
         records::{LEADERSHIP_KEY, LeadershipRecord},
     },
-    hold::{Action, Connections, Map, Planner, map::Format, planner},
+    hold::{Action, Connections, Map, Planner, map::Format, moves::Move, planner},
     key::{Service, Vm, clock::Tick},
     member::Presence,
     platform::{
@@ -94,6 +94,9 @@
     pub(super) limits: limit::Board,
     /// The fraction of each limit that coordinators hand out.
     pub(super) coordinated_fraction: f64,
+    /// The moves of keys that the other entries were told last, and how often they were.
+    pub(super) told_moves: BTreeMap<Service, Vec<Move>>,
+    pub(super) announcements: u64,
 }
 
 /// The journal line with the summary of a planner.
@@ -142,6 +145,8 @@
             last_reports: HashMap::new(),
             limits: limit::Board::default(),
             coordinated_fraction: 1.0,
+            told_moves: BTreeMap::new(),
+            announcements: 0,
         });
         self.read_rows(now);
     }
@@ -306,6 +311,7 @@
         }
         for (service, actions) in actions_by_service {
             self.execute(&service, actions);
+            self.announce_moves(&service, now);
         }
         self.begin_grants(now);
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod gather;
 mod metrics;
+mod moves;
 mod permit;
 mod process;
 mod shared;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        freshness::Freshness, gather::Allowance, metrics::Counters, snapshot::Snapshot, sync::lock,
+        freshness::Freshness, gather::Allowance, metrics::Counters, moves::Announced,
+        snapshot::Snapshot, sync::lock,
     },
     arc_swap::ArcSwap,
     conf::PlatformSettings,
@@ -59,6 +60,8 @@
     /// The number of snapshots published so far; a change wakes the requests that wait for a newer
     /// one.
     pub(crate) snapshot_changed: watch::Sender<u64>,
+    /// The keys that are about to leave their holders.
+    pub(crate) moves: Announced,
     pub(crate) stopping: AtomicBool,
     /// Whether this process knows what entries that started before it have learned.
     has_learned: AtomicBool,
@@ -89,6 +92,7 @@
             settings,
             snapshot: ArcSwap::default(),
             snapshot_changed: watch::Sender::new(0),
+            moves: Announced::default(),
             stopping: AtomicBool::new(false),
             has_learned: AtomicBool::new(false),
             freshness: Freshness::default(),
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -123,8 +123,10 @@
         match self.admitted.key {
             Some(key) if self.admitted.keyed => {
                 let map_version = snapshot.map_version(&self.admitted.service);
-                snapshot.holder(&self.admitted.service, key).filter(|target| {
-                    !target.condition.is_unreachable()
+                let service = &self.admitted.service;
+                snapshot.holder(service, key).filter(|target| {
+                    !self.shared.moves.is_leaving(service, key, &target.instance)
+                        && !target.condition.is_unreachable()
                         && !target.condition.has_denied(key, map_version)
                         && target.condition.intake(target.in_flight(), false).admits()
                 })
