Try a denied request at its next holder at once, and log the age of the map

A map that arrived while a request was on its way to the former holder was not noticed after its denial: the request waited for yet another change, 25 ms. A second denial refused it, also where it came from the next holder, whose grant was still on its way. And nothing told an operator whether denials come from old maps.

A request is now tried again without a pause if the newest map names another holder, and the third denial refuses it.

Not seen failing before: no test without a network covers the attempts.

--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -102,6 +102,8 @@
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
+    /// When this process learned of each of them.
+    maps_learned_at: BTreeMap<Service, Tick>,
     members: Roster<Member>,
     /// Whether rows of entries that are gone are being removed, and when that last began.
     removal_in_flight: bool,
@@ -184,6 +186,7 @@
             relay,
             registry_grew_at: None,
             maps: BTreeMap::new(),
+            maps_learned_at: BTreeMap::new(),
             members: Roster::default(),
             removal_in_flight: false,
             rows_removed_at: Tick::default(),
--- a/crates/edge/src/control/state/publishing.rs
+++ b/crates/edge/src/control/state/publishing.rs
@@ -63,7 +63,8 @@
                 Some(target)
             };
             let targets = registrations.into_iter().map(to_target).collect();
-            snapshot.holders.insert(service, Holders { map, targets });
+            let learned_at = self.maps_learned_at.get(&service).copied().unwrap_or(now);
+            snapshot.holders.insert(service, Holders { map, learned_at, targets });
         }
         // Requests that were on their way to a target before it left are sent only until it closes,
         // whether the snapshot still names it or not.
--- a/crates/edge/src/control/state/rows.rs
+++ b/crates/edge/src/control/state/rows.rs
@@ -98,6 +98,7 @@
             return;
         }
         self.log_belief(service.as_str(), map.version, "holders of keys");
+        self.maps_learned_at.insert(service.clone(), Tick::now());
         self.maps.insert(service, Arc::new(map));
         self.dirty = true;
     }
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -4,7 +4,7 @@
     crate::traffic::target::Target,
     conf::routing::Routing,
     hold::{Instance, Map},
-    key::{Service, Version},
+    key::{Service, Version, clock::Tick},
     std::{collections::HashMap, sync::Arc},
 };
 
@@ -12,6 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct Holders {
     pub(crate) map: Arc<Map>,
+    /// When this process learned of the map.
+    pub(crate) learned_at: Tick,
     /// The targets of the map's holders, in their order; `None` where a target must get no
     /// requests.
     pub(crate) targets: Vec<Option<Arc<Target>>>,
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -18,6 +18,7 @@
         },
     },
     http::Response,
+    key::clock::Tick,
     platform::header::Denial,
     route::{
         Reason, Refusal,
@@ -37,8 +38,9 @@
 const TARGET_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
 /// The number of denials by targets that don't hold the key, or are not the expected instance,
-/// after which a request is refused.
-const MAX_MISDIRECTIONS: u32 = 2;
+/// after which a request is refused. The second may come from the next holder, which has the map's
+/// word for the key but not yet the grant.
+const MAX_MISDIRECTIONS: u32 = 3;
 
 /// The fraction of the fleet's retry budget that the entries use; the rest allows for retries that
 /// they cannot count.
@@ -64,6 +66,12 @@
     target: &'a str,
     result: &'a str,
     after_ms: u64,
+    /// The version of the map by which the target holds the key, if it denies that, and for how long
+    /// this process has known the map.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    map_version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    map_age_ms: Option<u64>,
 }
 
 /// The attempts at one request, and what they have shown so far.
@@ -150,7 +158,10 @@
                     if misdirections >= MAX_MISDIRECTIONS {
                         return Err(self.refusal(Reason::NoOwner));
                     }
-                    self.wait_for_change(TARGET_RETRY_INTERVAL).await;
+                    // A map that arrived meanwhile may name the next holder already.
+                    if !self.has_other_holder(&target) {
+                        self.wait_for_change(TARGET_RETRY_INTERVAL).await;
+                    }
                 }
                 AttemptResult::Denied(Denial::Malformed) => {
                     return Err(self.refusal(Reason::BadHeader));
@@ -252,16 +263,30 @@
             }
             return;
         }
-        self.record_failure(target, "not held");
         let snapshot = self.shared.snapshot.load();
-        if let (Some(holders), Some(key)) =
-            (snapshot.holders.get(&self.admitted.service), self.admitted.key)
+        let holders = snapshot.holders.get(&self.admitted.service);
+        let map = holders.map(|holders| {
+            (holders.map.version.get(), Tick::now().since(holders.learned_at).as_millis() as u64)
+        });
+        if let Some((_, age_ms)) = map {
+            self.shared.counters.count("misdirected", map_age(age_ms));
+        }
+        self.log_failure(target, "not held", map);
+        if let (Some(holders), Some(key)) = (holders, self.admitted.key)
             && let Some(assignment) = holders.map.assignment(key)
         {
             target.condition.record_denial(assignment.span, holders.map.version);
         }
     }
 
+    /// Returns true if another target than this one holds the key by the newest map.
+    fn has_other_holder(&self, target: &Arc<Target>) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        let holder = self.admitted.key.filter(|_| self.admitted.keyed);
+        let holder = holder.and_then(|key| snapshot.holder(&self.admitted.service, key));
+        holder.is_some_and(|holder| !Arc::ptr_eq(&holder, target))
+    }
+
     /// Waits for a new snapshot, up to a timeout.
     async fn wait_for_change(&self, timeout: Duration) {
         let mut changed = self.shared.snapshot_changed.subscribe();
@@ -285,6 +310,11 @@
 
     /// Counts a failed attempt and logs it.
     fn record_failure(&self, target: &Target, result: &str) {
+        self.log_failure(target, result, None);
+    }
+
+    /// Counts a failed attempt and logs it, with the version and age of the map that led to it.
+    fn log_failure(&self, target: &Target, result: &str, map: Option<(u64, u64)>) {
         self.shared.counters.count("attempts_failed", result);
         self.shared.journal.log(
             "attempt",
@@ -293,6 +323,8 @@
                 target: target.instance.vm.as_str(),
                 result,
                 after_ms: self.admitted.arrived_at.elapsed().as_millis() as u64,
+                map_version: map.map(|(version, _)| version),
+                map_age_ms: map.map(|(_, age_ms)| age_ms),
             },
         );
     }
@@ -323,3 +355,14 @@
         }
     }
 }
+
+/// Returns the age of a map as the metrics have it. A young map says that its new holder has no grant
+/// yet, an old one that the key has left its holder since.
+const fn map_age(age_ms: u64) -> &'static str {
+    match age_ms {
+        0..100 => "map under 0.1 s old",
+        100..1_000 => "map under 1 s old",
+        1_000..10_000 => "map under 10 s old",
+        _ => "map over 10 s old",
+    }
+}
