--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -4,6 +4,7 @@
 //! and to targets run as tasks that send their results back as inputs. Whatever changes for traffic
 //! marks the snapshot as outdated, and one new snapshot is published after the input.
 
+mod announcing;
 mod campaigning;
 mod evacuating;
 mod following;
@@ -106,6 +107,8 @@
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
+    /// When this process learned of each of them.
+    maps_learned_at: BTreeMap<Service, Tick>,
     members: Roster<Member>,
     /// Whether rows of entries that are gone are being removed, and when that last began.
     removal_in_flight: bool,
@@ -189,6 +192,7 @@
             logged_evacuations: BTreeMap::new(),
             registry_grew_at: None,
             maps: BTreeMap::new(),
+            maps_learned_at: BTreeMap::new(),
             members: Roster::default(),
             removal_in_flight: false,
             rows_removed_at: Tick::default(),
@@ -300,6 +304,7 @@
                 }
             }
             Input::MapDelta(delta) => self.apply_map_delta(&delta),
+            Input::KeyMoves(moves) => self.apply_moves(moves, now),
             Input::CampaignResult { record, commit } => {
                 self.handle_campaign_result(record, commit, now);
             }
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod evacuation;
 pub mod ledger;
 pub mod map;
+pub mod moves;
 pub mod outbox;
 pub mod planner;
 pub mod recovery;
@@ -34,6 +35,7 @@
     evacuation::Evacuations,
     ledger::Ledger,
     map::{Assignment, Instance, Map, Span},
+    moves::Moves,
     outbox::Outbox,
     planner::{Action, Planner},
     registry::{Registration, Registry},
--- a/crates/hold/src/planner/reassignment.rs
+++ b/crates/hold/src/planner/reassignment.rs
@@ -5,6 +5,7 @@
     crate::{
         balance::{self, Candidate, Pending},
         map::{Assignment, Holder, Holdings, Instance, Span},
+        moves::Move,
         registry::{Availability, RegisteredTarget, Registry},
     },
     key::{Fence, clock::Tick},
@@ -175,6 +176,13 @@
         self.ready_targets(registry, now).filter_map(candidate).collect()
     }
 
+    /// Returns the keys that are being revoked, or were and have no new holder yet.
+    #[must_use]
+    pub fn moves(&self) -> Vec<Move> {
+        let to_move = |begun: &Reassignment| Move { span: begun.span, from: begun.from.clone() };
+        self.reassignments.iter().map(to_move).collect()
+    }
+
     /// Records the result of a release: the handover data of the target, if any, or the failure.
     pub fn record_release(
         &mut self,
@@ -205,9 +213,9 @@
                 if outcome == Outcome::Ended {
                     self.record_instance_end(instance);
                 }
-                // The target may have released the keys, so its grants are sent again.
-                let session = self.sessions.entry(instance.clone()).or_default();
-                session.acknowledged.retain(|known, _| !known.overlaps(span));
+                // The target may have released the keys, so they are granted again. It still has the
+                // others, of which more may be revoked meanwhile.
+                self.sessions.entry(instance.clone()).or_default().forget_acknowledgement(span);
             }
         }
     }
