Report recent crashes to a new leader until it has replied

A request that had crashed two targets crashed a third one if the leader that had got a crash report lost the leadership before it passed it on, or if the call with the report failed: the report was taken out of the feedback before the call, and what a process knows of crashes was not part of its reports.

Each process now keeps the crash reports of the last 120 s, its own and those that it heard (route::crash_log, no input, output or clock), and reports each until the present leader has replied. A change of the leader makes all of them due again, and they are passed on with replies for 3 s from then. Reports have an optional age, so that they expire everywhere at the same time; earlier releases ignore it and send none.

--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -9,7 +9,7 @@
     hold::{Instance, Map, Registration, map::Delta},
     key::{Era, Incarnation, Service, Version, Vm, clock::Tick},
     limit::{Rate, Word},
-    route::quarantine::{CrashReport, Suspect},
+    route::{crash_log::CrashNotice, quarantine::Suspect},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
@@ -104,7 +104,7 @@
     #[serde(rename = "answers")]
     pub(crate) latencies: Vec<LatencyStats>,
     #[serde(rename = "strikes")]
-    pub(crate) crash_reports: Vec<CrashReport>,
+    pub(crate) crash_reports: Vec<CrashNotice>,
     /// Instances of targets that are proved to have ended.
     #[serde(rename = "ended")]
     pub(crate) ended_instances: Vec<Instance>,
@@ -237,7 +237,7 @@
     pub(crate) maps: Vec<NewMap>,
     pub(crate) targets: Option<Vec<VersionedRegistration>>,
     #[serde(rename = "strikes")]
-    pub(crate) crash_reports: Vec<CrashReport>,
+    pub(crate) crash_reports: Vec<CrashNotice>,
     /// The requests that are refused, if the report asked for them.
     #[serde(default)]
     pub(crate) suspects: Vec<Suspect>,
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -44,13 +44,9 @@
     member::Roster,
     platform::Store,
     relaying::Relay,
-    route::quarantine::CrashReport,
+    route::CrashLog,
     serde::Serialize,
-    std::{
-        collections::{BTreeMap, VecDeque},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     suspects::StoredSuspects,
     tokio::sync::mpsc::Sender,
 };
@@ -63,9 +59,6 @@
 /// input reports that end.
 const GRACE_PERIOD_TAIL: Duration = Duration::from_millis(500);
 
-/// The time for which crash reports are passed on to entries that report.
-const CRASH_REPORT_TTL: Duration = Duration::from_secs(3);
-
 /// The journal line about a change in what this process knows, or a row that it cannot use.
 #[derive(Serialize)]
 struct BeliefLine<'a> {
@@ -74,13 +67,6 @@
     detail: &'a str,
 }
 
-/// A crash report that is still passed on.
-#[derive(Debug)]
-struct RecentCrash {
-    report: CrashReport,
-    recorded_at: Tick,
-}
-
 /// The state of the control thread.
 pub(crate) struct State {
     me: Process,
@@ -145,7 +131,8 @@
     report_in_flight: bool,
     map_read_in_flight: bool,
     maps_polled_at: Tick,
-    crash_reports: VecDeque<RecentCrash>,
+    /// The crash reports that are still passed on.
+    crash_log: CrashLog,
     /// What is stored of the requests that are refused.
     stored_suspects: StoredSuspects,
     /// Whether the leader has told this process which requests are refused.
@@ -210,7 +197,7 @@
             report_in_flight: false,
             map_read_in_flight: false,
             maps_polled_at: Tick::default(),
-            crash_reports: VecDeque::new(),
+            crash_log: CrashLog::default(),
             stored_suspects: StoredSuspects::default(),
             has_leader_told: false,
             limit_revision: LimitRevision::default(),
@@ -334,13 +321,7 @@
     fn handle_tick(&mut self, now: Tick) {
         self.update_store_availability(now);
         self.registry.expire(now);
-        while self
-            .crash_reports
-            .front()
-            .is_some_and(|recent| now.since(recent.recorded_at) > CRASH_REPORT_TTL)
-        {
-            self.crash_reports.pop_front();
-        }
+        self.crash_log.expire(now);
         if self.leadership.is_some() {
             self.run_leader(now);
         } else {
--- a/crates/edge/src/control/state/campaigning.rs
+++ b/crates/edge/src/control/state/campaigning.rs
@@ -8,7 +8,7 @@
         records::{LEADERSHIP_KEY, LeadershipRecord},
     },
     hold::election::Leader,
-    key::{Version, Vm, clock::Tick},
+    key::{Process, Version, Vm, clock::Tick},
     platform::store::{Change, Commit, Table, Write},
 };
 
@@ -40,6 +40,9 @@
         if self.leadership_version.era() < version.era() {
             self.former_leadership_version = self.leadership_version;
         }
+        let leader = Process { vm: record.vm.clone(), incarnation: record.incarnation };
+        let is_suspect = |fingerprint| self.shared.quarantine().is_suspect(fingerprint);
+        self.crash_log.follow(&leader, is_suspect, now);
         self.leadership_record = Some(record);
         self.leadership_version = version;
         self.leadership_learned_at = now;
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -25,11 +25,9 @@
         Store,
         store::{Change, Commit, Table, Write},
     },
+    route::crash_log::CrashNotice,
     smol_str::SmolStr,
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
     tokio::time,
 };
 
@@ -164,6 +162,7 @@
         let report = self.make_report(now);
         if self.leadership.is_some() {
             self.record_report(&report, now);
+            self.crash_log.acknowledge();
             return;
         }
         let Some(record) = self.leadership_record.clone().filter(|record| record.vm != self.me.vm)
@@ -179,8 +178,8 @@
     }
 
     /// Collects a report, and resets the observations that it carries.
-    fn make_report(&self, now: Tick) -> Report {
-        let (requests_by_key, crash_reports, ended_instances, deferrals) = {
+    fn make_report(&mut self, now: Tick) -> Report {
+        let (requests_by_key, crashes, ended_instances, deferrals) = {
             let mut feedback = self.shared.feedback();
             (
                 std::mem::take(&mut feedback.requests_by_key),
@@ -189,6 +188,9 @@
                 std::mem::take(&mut feedback.deferrals),
             )
         };
+        for report in crashes {
+            self.crash_log.record(CrashNotice { report, age_ms: 0 }, now);
+        }
         let to_notice = |deferral: Deferral| DeferralNotice {
             service: deferral.service,
             target: deferral.target,
@@ -215,7 +217,7 @@
             wants_targets: self.wants_targets(now),
             load: load.into_iter().map(|(service, keys)| KeyLoad { service, keys }).collect(),
             latencies: latencies.collect(),
-            crash_reports,
+            crash_reports: self.crash_log.report(now),
             ended_instances,
             orders_ended: self.grant_batches == 0,
             leadership: self.leadership_version,
@@ -271,9 +273,15 @@
         if reply.leads && is_leader {
             self.has_leader_told = true;
             self.shared.record_learned();
+            self.crash_log.acknowledge();
         }
-        for crash_report in reply.crash_reports {
-            self.shared.quarantine().record_crash(crash_report, Instant::now());
+        for notice in reply.crash_reports {
+            self.quarantine_heard(notice);
+            if reply.leads && is_leader {
+                self.crash_log.record_told(notice, now);
+            } else {
+                self.crash_log.record(notice, now);
+            }
         }
         for update in reply.maps {
             let map = Map { version: self.with_era(update.version), ..update.map };
--- a/crates/edge/src/control/state/reporting.rs
+++ b/crates/edge/src/control/state/reporting.rs
@@ -1,7 +1,7 @@
 //! What the leader does with the reports of all entries, and its replies.
 
 use {
-    super::{RecentCrash, State, leading::LastReport},
+    super::{State, leading::LastReport},
     crate::control::message::{LeavingNotice, Reply, Report, VersionedRegistration},
     hold::election::is_better_placed,
     key::clock::Tick,
@@ -47,9 +47,9 @@
 
     /// Records what an entry observed: crash reports, ended instances, load and latencies.
     pub(super) fn record_report(&mut self, report: &Report, now: Tick) {
-        for crash_report in &report.crash_reports {
-            self.shared.quarantine().record_crash(*crash_report, Instant::now());
-            self.crash_reports.push_back(RecentCrash { report: *crash_report, recorded_at: now });
+        for notice in &report.crash_reports {
+            self.quarantine_heard(*notice);
+            self.crash_log.record(*notice, now);
         }
         let Some(leadership) = &mut self.leadership else { return };
         for instance in &report.ended_instances {
@@ -123,7 +123,7 @@
             routing_age_ms: self.routing.in_force_at().map(|at| now.since(at).as_millis() as u64),
             maps: self.maps_newer_than(&report.maps),
             targets,
-            crash_reports: self.crash_reports.iter().map(|recent| recent.report).collect(),
+            crash_reports: self.crash_log.passed_on(now),
             suspects,
             limits,
             limit_revision,
--- a/crates/edge/src/control/state/suspects.rs
+++ b/crates/edge/src/control/state/suspects.rs
@@ -14,7 +14,10 @@
     },
     key::{Version, clock::Tick},
     platform::store::{Change, Commit, Row, Rows, Table, Write},
-    route::quarantine::{Fingerprint, Suspect},
+    route::{
+        crash_log::CrashNotice,
+        quarantine::{Fingerprint, Suspect},
+    },
     serde::Serialize,
     std::{
         collections::HashSet,
@@ -74,6 +77,16 @@
         self.shared.journal.log("suspects", &line);
     }
 
+    /// Records a crash that another process reported.
+    pub(super) fn quarantine_heard(&self, notice: CrashNotice) {
+        let CrashNotice { report, age_ms } = notice;
+        let suspect =
+            Suspect { fingerprint: report.fingerprint, crashes: vec![report.crash], age_ms };
+        if self.shared.quarantine().merge(&suspect, Instant::now()) {
+            self.shared.journal.log("quarantined", &report);
+        }
+    }
+
     /// Applies the row of refused requests, as the store had it when its clock stood at `clock`.
     pub(super) fn apply_suspects_row(&mut self, row: &Row, clock: Duration) {
         let Some(value) =
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backpressure;
 pub mod budget;
 pub mod choice;
+pub mod crash_log;
 pub mod header;
 pub mod load;
 pub mod locate;
@@ -19,6 +20,7 @@
 pub use crate::{
     backpressure::Backpressure,
     budget::Budget,
+    crash_log::CrashLog,
     load::Load,
     outcome::{Outcome, Reason, Refusal},
     quarantine::Quarantine,
