Send each release of keys over a connection of its own

ReleaseLane moves to crate platform, where a test reaches it, and opens a connection for each release, with which a copy ends.

--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -6,7 +6,7 @@
         planner::{Grant, Outcome},
     },
     key::Fence,
-    platform::order::{Connection, Error},
+    platform::order::{Connection, Error, ReleaseLane},
     smol_str::SmolStr,
     std::{
         net::{IpAddr, SocketAddr},
@@ -17,10 +17,7 @@
 /// The time one grant may take until its answer.
 pub(crate) const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The time a release may take until its answer, which the target sends after its requests on these
-/// keys have ended.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_000);
-
+/// The time that opening a connection for grants may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Where grants and releases go, and from which local address.
@@ -92,38 +89,15 @@
     (results, connection)
 }
 
-/// The connection over which one target gets releases, one after the other. It is not the one of
-/// the grants, so that the long wait for an answer delays no grant.
-#[derive(Debug)]
-pub(crate) struct ReleaseLane {
-    destination: Destination,
-    connection: Option<Connection>,
-}
-
-impl ReleaseLane {
-    pub(crate) const fn new(destination: Destination) -> Self {
-        Self { destination, connection: None }
-    }
-
-    /// Releases keys. Returns the handover data of the target, if it sent any.
-    pub(crate) async fn send(
-        &mut self,
-        span: Span,
-        fence: Fence,
-    ) -> Result<Option<SmolStr>, Outcome> {
-        let opened = match self.connection.take() {
-            Some(connection) if !connection.is_closed() => Ok(connection),
-            _ => self.destination.connect().await,
-        };
-        let mut connection = opened.map_err(|_| Outcome::Unsent)?;
-        match connection.release(span, fence, RELEASE_TIMEOUT).await {
-            Ok(handover) => {
-                self.connection = Some(connection);
-                Ok(handover)
-            }
-            Err(Error::Unreachable) => Err(Outcome::Unsent),
-            Err(Error::Misdirected) => Err(Outcome::Ended),
-            Err(_) => Err(Outcome::Lost),
-        }
-    }
+/// Releases keys. Returns the handover data of the target, if it sent any.
+pub(crate) async fn send_release(
+    lane: &ReleaseLane,
+    span: Span,
+    fence: Fence,
+) -> Result<Option<SmolStr>, Outcome> {
+    lane.send(span, fence).await.map_err(|error| match error {
+        Error::Unreachable => Outcome::Unsent,
+        Error::Misdirected => Outcome::Ended,
+        _ => Outcome::Lost,
+    })
 }
--- a/crates/edge/src/control/state/ordering.rs
+++ b/crates/edge/src/control/state/ordering.rs
@@ -4,11 +4,7 @@
 use {
     super::{State, granting::GrantBatch},
     crate::control::{
-        feeds::send,
-        input::Input,
-        message::MapDelta,
-        orders::{self, ReleaseLane},
-        records::LEADERSHIP_KEY,
+        feeds::send, input::Input, message::MapDelta, orders, records::LEADERSHIP_KEY,
     },
     hold::{
         Action, Instance, Map, Span,
@@ -16,7 +12,10 @@
         planner::{Outcome, WriteOutcome},
     },
     key::{Fence, Service, clock::Tick},
-    platform::store::{Change, Commit, Table, Write},
+    platform::{
+        order::ReleaseLane,
+        store::{Change, Commit, Table, Write},
+    },
     serde::Serialize,
     smol_str::SmolStr,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -101,12 +100,13 @@
         for lane in 0..lane_count {
             let orders: Vec<(Span, Fence)> =
                 releases.iter().skip(lane).step_by(lane_count).copied().collect();
-            let mut lane = ReleaseLane::new(self.destination(instance, address));
+            let source = self.shared.settings.source;
+            let lane = ReleaseLane::new(instance.vm.clone(), address, source);
             let (service, instance, inputs) =
                 (service.clone(), instance.clone(), self.inputs.clone());
             tokio::task::spawn_local(async move {
                 for (span, fence) in orders {
-                    let result = lane.send(span, fence).await;
+                    let result = orders::send_release(&lane, span, fence).await;
                     let (service, instance) = (service.clone(), instance.clone());
                     let input = Input::ReleaseResult { service, instance, span, result };
                     send(&inputs, input).await;
