Take a response with a status that is none for no answer

A status from 600 to 999, and by the code an unrequested 101, was passed on to the caller as the target's answer, directly and through another entry; with Not-Executed it was a refusal that said "not run". The HTTP library refuses 000, 099, 1000 and text itself, and skips informational responses; it accepts any number from 100 to 999.

wire::is_final accepts 200 to 599. Anything else is a broken answer: the outcome is unknown (502), the connection is closed, and a request that may be repeated is tried again. The answer to a grant with such a status counted as refused, so the grant was not remembered as possibly applied; it counts as lost now. The same under the product's own conventions.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -171,7 +171,10 @@
     sent_at: Tick,
 ) -> AttemptResult {
     let target = Arc::clone(&connection.target);
-    if !header::is_response_to(&response, header::request_id(&call.parts.headers)) {
+    // A status that is none proves nothing, whatever its headers say.
+    if !wire::is_final(response.status())
+        || !header::is_response_to(&response, header::request_id(&call.parts.headers))
+    {
         return AttemptResult::Broken;
     }
     let denial = header::denial(&response, target.instance.vm.as_str());
--- a/crates/entry/src/traffic/attempt.rs
+++ b/crates/entry/src/traffic/attempt.rs
@@ -97,7 +97,8 @@
 ) -> AttemptResult {
     let headers = response.headers();
     record_target_state(&connection.target, headers);
-    if headers.get(header::REQUEST_ID) != Some(id) {
+    // A status that is none proves nothing, whatever its headers say.
+    if !wire::is_final(response.status()) || headers.get(header::REQUEST_ID) != Some(id) {
         return AttemptResult::Unknown(Reason::MismatchedAnswer);
     }
     if let Some(reason) = not_run_reason(&response) {
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -26,12 +26,22 @@
     /// The target is full: a request does not run and gets no response, and neither does any later
     /// one on its connection.
     Full,
+    /// Requests run, and their responses have these texts in turn in place of a status.
+    Statuses(&'static [&'static str]),
+    /// The same, and the responses say that the requests have not run.
+    RefusedStatuses(&'static [&'static str]),
+    /// Requests run, and informational responses with these statuses come before the response.
+    Informed(&'static [&'static str]),
 }
 
 /// The requests that a target has seen, by their attempt ids.
 #[derive(Debug, Default)]
 struct Seen {
     arrived: HashSet<String>,
+    /// The number of requests on the connection that had the most.
+    most_on_one: usize,
+    /// The number of responses with a status of a list.
+    responses: usize,
     run: HashSet<String>,
     /// How many connections were closed, and how many reset, while a request had no response.
     closed: usize,
@@ -84,6 +94,20 @@
         self.seen().behind
     }
 
+    /// Returns the number of requests on the connection that had the most.
+    #[must_use]
+    pub fn most_requests_on_one_connection(&self) -> usize {
+        self.seen().most_on_one
+    }
+
+    /// Records that a request runs, and returns the status of its response.
+    fn run(&self, id: &str, statuses: &'static [&'static str]) -> &'static str {
+        let mut seen = self.seen();
+        seen.run.insert(id.to_owned());
+        seen.responses += 1;
+        statuses[seen.responses % statuses.len()]
+    }
+
     /// Serves connections on `listener`, forever.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         serve_connections(listener, |stream| {
@@ -95,8 +119,12 @@
 
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut refusal = None;
+        let mut requests = 0;
         while let Some(id) = read_request(&mut stream).await? {
             let is_new = self.seen().arrived.insert(id.clone());
+            requests += 1;
+            let most = self.seen().most_on_one.max(requests);
+            self.seen().most_on_one = most;
             match self.kind {
                 Kind::RepeatedRefusal if is_new && refusal.is_none() => {
                     let text = format!(
@@ -122,6 +150,23 @@
                     return self.wait_for_end(&mut stream).await;
                 }
                 Kind::Full => return self.wait_for_end(&mut stream).await,
+                Kind::Statuses(statuses) => {
+                    let status = self.run(&id, statuses);
+                    let response = success(&id).replacen("200", status, 1);
+                    stream.write_all(response.as_bytes()).await?;
+                }
+                Kind::RefusedStatuses(statuses) => {
+                    let head = format!("{} Odd\r\nnot-executed: 1", self.run(&id, statuses));
+                    let response = success(&id).replacen("200 OK", &head, 1);
+                    stream.write_all(response.as_bytes()).await?;
+                }
+                Kind::Informed(statuses) => {
+                    self.seen().run.insert(id.clone());
+                    let informed =
+                        statuses.iter().map(|status| format!("HTTP/1.1 {status} \r\n\r\n"));
+                    let response: String = informed.chain([success(&id)]).collect();
+                    stream.write_all(response.as_bytes()).await?;
+                }
             }
         }
         Ok(())
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 pub use crate::{
     client::{Client, Config},
     error::{Error, ErrorKind},
-    forward::remove_hop_by_hop,
+    forward::{is_final, remove_hop_by_hop},
     listener::{accept, accept_until},
     sending::with_sending_delay,
     server::{Reply, json, read_body, read_json, serve, status},
