Refuse a request of which nothing was written as not run

Callers got 502 or 504 for requests that had reached no target, and cannot repeat an at-most-once request after these. Five ways were found:

- A pooled connection that the target had closed or reset was used, since the task that drives it had not run yet in a busy process.
The kernel is asked now (wire::Monitor::is_quiet, one system call for each reuse).
- The connection failed between the hand-over to the HTTP library and the first write, and
- the deadline passed there.
Sockets count the bytes that the kernel took; after a failure the driver is stopped, and none means unsent.
- The copy of an earlier answer came before the first write.
- An isolated entry gave a request up at the deadline, while the entry to which it had passed it on waited longer for a target (two fifths of the latency objective).
A wait ends at the deadline at the latest, and the other entry gets an earlier one (an eighth, at most 50 ms).

Bytes that the target's kernel took and its process did not remain unknown (docs/design/proved-outcomes.md). The counter `unwritten` tells how often each way is met.

The first four have tests of the monitor against sockets on loopback only: the window in the process cannot be hit surely from outside.

--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -136,6 +136,7 @@
         return AttemptResult::Unsent(ConnectError::Unreachable);
     }
     let sent_at = Tick::now();
+    let written_before = connection.written();
     let request = outgoing_request(call, target, way, remaining);
     let result = time::timeout(remaining, connection.sender().try_send_request(request)).await;
     let response = match result {
@@ -146,14 +147,35 @@
         Ok(Err(_)) => {
             target.close_idle();
             record_reach(shared, target, way, false);
-            return AttemptResult::Lost;
+            return if connection.close().await > written_before {
+                AttemptResult::Lost
+            } else {
+                unwritten(shared, "failed")
+            };
+        }
+        // A busy process may not have written the request yet.
+        Err(_) => {
+            return if connection.close().await > written_before {
+                AttemptResult::Late
+            } else {
+                unwritten(shared, "late")
+            };
         }
-        Err(_) => return AttemptResult::Late,
     };
+    // The response to an earlier request was sent twice.
+    if connection.written() == written_before {
+        return unwritten(shared, "answered");
+    }
     record_reach(shared, target, way, true);
     receive(shared, call, connection, response, way, sent_at).await
 }
 
+/// Returns the result of an attempt of which no byte was written to its connection.
+fn unwritten(shared: &Shared, end: &str) -> AttemptResult {
+    shared.counters.count("unwritten", end);
+    AttemptResult::Unsent(ConnectError::Unreachable)
+}
+
 /// Records whether a target was reached. Another entry is no target.
 fn record_reach(shared: &Shared, target: &Target, way: Way, reached: bool) {
     if way == Way::Direct {
@@ -277,13 +299,16 @@
     *headers = call.parts.headers.clone();
     wire::remove_hop_by_hop(headers);
     headers.remove(standard::EXPECT);
-    header::set_deadline(headers, remaining);
     match way {
         Way::Direct => {
+            header::set_deadline(headers, remaining);
             relay::clear_request(headers);
             header::set_expected_target(headers, target.instance.vm.as_str());
         }
-        Way::Relayed { sent } => relay::mark_request(headers, sent),
+        Way::Relayed { sent } => {
+            header::set_deadline(headers, relay::remaining_there(remaining));
+            relay::mark_request(headers, sent);
+        }
     }
     request
 }
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -90,6 +90,7 @@
         let highest = competing.map(|route| route.priority).min();
         let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
         let wait = wait.saturating_sub(self.admitted.arrived_at.elapsed());
+        let wait = wait.min(self.admitted.call.remaining());
         PermitRequest {
             max_wait: if has_choice { Duration::ZERO } else { wait },
             is_urgent: highest.is_none_or(|highest| self.admitted.route.priority <= highest),
@@ -97,10 +98,10 @@
     }
 
     /// Returns the target of the next attempt. Waits up to a fraction of the latency objective for
-    /// one that can be used.
+    /// one that can be used, and no longer than the deadline.
     async fn next_target(&self) -> Result<Arc<Target>, Refusal> {
         let wait = self.admitted.route.objective().mul_f64(TARGET_WAIT_FRACTION);
-        let wait_until = self.admitted.arrived_at + wait;
+        let wait_until = (self.admitted.arrived_at + wait).min(self.admitted.call.deadline);
         loop {
             let mut changed = self.shared.snapshot_changed.subscribe();
             let snapshot = self.shared.snapshot.load_full();
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -34,6 +34,19 @@
 /// The time between two attempts of an isolated entry to reach a target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The longest time that is kept for the answer of another entry to come back, on a VM that runs for
+/// a part of each 100 ms only.
+const MAX_RETURN_MARGIN: Duration = Duration::from_millis(50);
+
+/// The part of the time left that is kept for it at most.
+const RETURN_MARGIN_DIVISOR: u32 = 8;
+
+/// Returns the time that another entry has for a request, less than the time that is left here: if it
+/// refuses the request at the end, its proof that nothing has run still arrives in time.
+pub(crate) fn remaining_there(remaining: Duration) -> Duration {
+    remaining.saturating_sub(MAX_RETURN_MARGIN.min(remaining / RETURN_MARGIN_DIVISOR))
+}
+
 /// Removes what a caller may have set, and says how many attempts were made.
 pub(crate) fn mark_request(headers: &mut HeaderMap, sent: u32) {
     clear_request(headers);
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -22,6 +22,7 @@
         task::{AbortHandle, JoinHandle},
         time,
     },
+    wire::Monitor,
 };
 
 /// The time that opening a connection may take.
@@ -94,6 +95,7 @@
 struct Channel {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    monitor: Monitor,
 }
 
 impl Drop for Channel {
@@ -156,7 +158,8 @@
         reuse: Reuse,
     ) -> Result<Connection, ConnectError> {
         while let Some(channel) = self.check_out_idle(reuse) {
-            if channel.sender.is_ready() {
+            // The driver may not have run yet since the connection ended.
+            if channel.sender.is_ready() && channel.monitor.is_quiet() {
                 return Ok(Connection { target: Arc::clone(self), channel });
             }
         }
@@ -192,23 +195,26 @@
             stream.set_nodelay(true)?;
             // A request that is given up must not arrive later from the buffer of a closed socket.
             stream.set_zero_linger()?;
-            http1::Builder::new()
+            let (socket, monitor) = wire::monitor(stream);
+            let (sender, connection) = http1::Builder::new()
                 .max_buf_size(MAX_HEAD_BYTES)
-                .handshake(TokioIo::new(stream))
+                .handshake(TokioIo::new(socket))
                 .await
-                .map_err(std::io::Error::other)
+                .map_err(std::io::Error::other)?;
+            Ok((sender, connection, monitor))
         };
         let connected =
             time::timeout(CONNECT_TIMEOUT, connect).await.map_err(|_| ConnectError::Unreachable)?;
-        let (sender, connection) = connected.map_err(|error| match error.kind() {
-            std::io::ErrorKind::ConnectionRefused => ConnectError::Refused,
-            _ => ConnectError::Unreachable,
-        })?;
+        let (sender, connection, monitor) =
+            connected.map_err(|error: std::io::Error| match error.kind() {
+                std::io::ErrorKind::ConnectionRefused => ConnectError::Refused,
+                _ => ConnectError::Unreachable,
+            })?;
         let driver = tokio::spawn(async move {
             // The next use of the sender shows that the connection has ended.
             connection.await.ok();
         });
-        Ok(Channel { sender, driver })
+        Ok(Channel { sender, driver, monitor })
     }
 
     /// Opens a connection to find out whether the target's process has ended, and returns true if
@@ -300,6 +306,19 @@
         &mut self.channel.sender
     }
 
+    /// Returns the number of bytes that were written to the connection.
+    pub(crate) fn written(&self) -> u64 {
+        self.channel.monitor.written()
+    }
+
+    /// Closes the connection, and returns the number of bytes that were written to it.
+    pub(crate) async fn close(mut self) -> u64 {
+        self.channel.driver.abort();
+        // Once the task has ended, it writes nothing more.
+        (&mut self.channel.driver).await.ok();
+        self.written()
+    }
+
     /// Returns the handle with which the connection can be closed at any time.
     pub(crate) fn abort_handle(&self) -> AbortHandle {
         self.channel.driver.abort_handle()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod forward;
 mod listener;
+mod monitor;
 mod sending;
 mod server;
 mod socket;
@@ -20,6 +21,7 @@
     error::{Error, ErrorKind},
     forward::{is_final, remove_hop_by_hop},
     listener::{accept, accept_until},
+    monitor::{Monitor, Socket, monitor},
     sending::with_sending_delay,
     server::{Reply, json, read_body, read_json, serve, status},
     socket::socket,
