--- a/crates/trial/tests/lost_leader.rs
+++ b/crates/trial/tests/lost_leader.rs
@@ -114,6 +114,8 @@
                 leader.has_ended.load(Ordering::Relaxed).then_some(())
             })
             .await;
+            let crashed = crashed(&site);
+            assert!(crashed.len() <= MAX_CRASHES, "{end:?}, entry {entry}: {crashed:?} crashed");
             // The key gets another holder from the next leader.
             for entry in 0..plan.entries {
                 site.wait_until_served(entry, &SiteRequest::lookup(KEY)).await;
