--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -150,6 +150,7 @@
         return AttemptResult::Unsent(ConnectError::Unpermitted);
     }
     let sent_at = Tick::now();
+    let written_before = connection.written();
     let request = outgoing_request(call, target, way, remaining);
     let result = time::timeout(remaining, connection.sender().try_send_request(request)).await;
     let response = match result {
@@ -163,17 +164,36 @@
             record_reach(shared, target, way, false);
             record_lost(shared, target, way);
             warming::record_unanswered(shared, target);
-            return AttemptResult::Lost;
+            return if connection.close().await > written_before {
+                AttemptResult::Lost
+            } else {
+                unwritten(shared, "failed")
+            };
         }
+        // A busy process may not have written the request yet.
         Err(_) => {
             warming::record_unanswered(shared, target);
-            return AttemptResult::Late;
+            return if connection.close().await > written_before {
+                AttemptResult::Late
+            } else {
+                unwritten(shared, "late")
+            };
         }
     };
+    // The response to an earlier request was sent twice.
+    if connection.written() == written_before {
+        return unwritten(shared, "answered");
+    }
     record_reach(shared, target, way, true);
     receive(shared, call, connection, response, way, sent_at).await
 }
 
+/// Returns the result of an attempt of which no byte was written to its connection.
+fn unwritten(shared: &Shared, end: &str) -> AttemptResult {
+    shared.counters.count("unwritten", end);
+    AttemptResult::Unsent(ConnectError::Unreachable)
+}
+
 /// Records whether a target was reached. Another entry is no target.
 fn record_reach(shared: &Shared, target: &Target, way: Way, reached: bool) {
     if way == Way::Direct {
@@ -198,7 +218,10 @@
     sent_at: Tick,
 ) -> AttemptResult {
     let target = Arc::clone(&connection.target);
-    if !header::is_response_to(&response, header::request_id(&call.parts.headers)) {
+    // A status that is none proves nothing, whatever its headers say.
+    if !wire::is_final(response.status())
+        || !header::is_response_to(&response, header::request_id(&call.parts.headers))
+    {
         return AttemptResult::Broken;
     }
     let denial = header::denial(&response, target.instance.vm.as_str());
@@ -302,13 +325,16 @@
     *headers = call.parts.headers.clone();
     wire::remove_hop_by_hop(headers);
     headers.remove(standard::EXPECT);
-    header::set_deadline(headers, remaining);
     match way {
         Way::Direct => {
+            header::set_deadline(headers, remaining);
             relay::clear_request(headers);
             header::set_expected_target(headers, target.instance.vm.as_str());
         }
-        Way::Relayed { sent } => relay::mark_request(headers, sent),
+        Way::Relayed { sent } => {
+            header::set_deadline(headers, relay::remaining_there(remaining));
+            relay::mark_request(headers, sent);
+        }
     }
     request
 }
