--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod choice;
 pub mod header;
+pub mod hedge;
 pub mod load;
 pub mod locate;
 pub mod outcome;
