Choose targets by reported load, refuse what none can answer, and hedge

Requests were sent to targets that could not answer them before their callers gave up, and a slow or full target got its share while others were free. Where a full target never answers what it cannot queue, a read waited until its caller gave up (504), although other targets were free.

The load that answers name, refusals included, is recorded for each target, and a value that cannot be true is counted and logged. Targets without keys that report their load are chosen by `route::load`; full ones are passed over. If no target can answer a request in time, or the holder of its key cannot, it is refused at once as not run, with the time at which capacity is expected.

An attempt without a response for longer than nearly all requests of its service take marks its target as hanging. A repeatable request then goes to one other target, within its attempts and a part of the retry budget. The first response wins; dropping the other attempt resets its connection. Both count as run unless proved otherwise. Keyed requests are not hedged, nor those that run at most once. A hang does not change the moving average of the latency: a target that was passed over for it got no request any more when its back-off was over.

Tested with `hanging` on loopback: reads that a target never answers are served, and an order runs at most once. The test was seen to fail before, with a 504 for a read.

--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         freshness::Freshness, gather::Allowance, metrics::Counters, snapshot::Snapshot, sync::lock,
+        traffic::reported::News,
     },
     arc_swap::ArcSwap,
     conf::PlatformSettings,
@@ -70,6 +71,8 @@
     pub(crate) permit_client: wire::Client,
     /// The memory for bodies that are gathered.
     pub(crate) gathering: Arc<Allowance>,
+    /// What answers show of the load of targets.
+    pub(crate) news: News,
     feedback: Mutex<Feedback>,
     quarantine: Mutex<Quarantine>,
     budgets: Mutex<HashMap<Service, Window>>,
@@ -96,6 +99,7 @@
             counters: Counters::default(),
             permit_client,
             gathering: Arc::default(),
+            news: News::default(),
             feedback: Mutex::default(),
             quarantine: Mutex::default(),
             budgets: Mutex::default(),
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -7,6 +7,7 @@
         traffic::{
             body::{Body, Stream},
             notice, relay,
+            reported::{self, Ending},
             target::{ConnectError, Connection, Reuse, Target},
         },
     },
@@ -76,6 +77,7 @@
 impl<'a> InFlightGuard<'a> {
     fn new(target: &'a Target) -> Self {
         target.in_flight.fetch_add(1, Ordering::Relaxed);
+        target.reported.record_sent();
         Self(target)
     }
 }
@@ -182,6 +184,12 @@
         }
         notice::record(shared, &target, said);
         record_limit(shared, &target, response.headers(), sent_at);
+        let ending = match denial {
+            Some(Denial::Shed) => Ending::Shed,
+            None if response.status().is_success() => Ending::Served,
+            _ => Ending::Other,
+        };
+        reported::record(shared, &target, response.headers(), ending, sent_at);
     }
     if let Some(denial) = denial {
         drain_body(response.into_body(), connection).await;
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -5,7 +5,9 @@
 //! that targets name. A request that may have run is sent again only if its route allows repeats.
 
 mod choosing;
+mod hedging;
 mod relaying;
+mod shedding;
 
 use {
     crate::{
@@ -22,6 +24,7 @@
     route::{
         Reason, Refusal,
         budget::{RetryLimit, Window},
+        hedge,
         quarantine::CrashReport,
     },
     serde::Serialize,
@@ -118,8 +121,7 @@
                 }
             }
             let target = self.next_permitted_target().await?;
-            let begun_at = Instant::now();
-            let result = self.send_to(&target).await;
+            let (target, result, begun_at) = self.send_hedged(&target).await;
             if !matches!(result, AttemptResult::Unsent(_)) {
                 self.sent += 1;
             }
@@ -228,6 +230,17 @@
     /// Charges one retry to this entry's share of the fleet's budget; returns false if none is
     /// left.
     fn try_retry(&self) -> bool {
+        let allowed = self.charge_retry(|limit| limit);
+        self.shared.counters.count("retries", if allowed { "allowed" } else { "denied" });
+        allowed
+    }
+
+    /// The same for a second attempt beside the first, which may use a part of the budget.
+    fn try_hedge(&self) -> bool {
+        self.charge_retry(hedge::hedge_limit)
+    }
+
+    fn charge_retry(&self, part: impl Fn(RetryLimit) -> RetryLimit) -> bool {
         let retries = self.shared.settings.retries;
         let entries = self.shared.snapshot.load().entries.max(1) as f64;
         let limit = RetryLimit {
@@ -237,9 +250,7 @@
         let window = || Window::new(retries.window.as_duration());
         let mut budgets = self.shared.budgets();
         let budget = budgets.entry(self.admitted.service.clone()).or_insert_with(window);
-        let allowed = budget.try_retry(Instant::now(), limit);
-        self.shared.counters.count("retries", if allowed { "allowed" } else { "denied" });
-        allowed
+        budget.try_retry(Instant::now(), part(limit))
     }
 
     /// Records that a target denied the request: another target runs at its address, or it does not
--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -25,6 +25,10 @@
 /// priority below adds as much.
 const RETURN_SPREAD: Duration = Duration::from_millis(80);
 
+/// The part of the time until capacity is expected by which callers are spread in addition. The
+/// longer that time, the more of them wait for it.
+const SHORTAGE_SPREAD: f64 = 0.3;
+
 /// The priority from which the spread grows no more.
 const MAX_SPREAD_RANK: u32 = 3;
 
@@ -37,6 +41,12 @@
             self.due_in = Some(due_in + self.spread());
             return Err(self.refusal(Reason::RateLimited));
         }
+        if let Some(due_in) = self.shortage() {
+            let spread = due_in.mul_f64(SHORTAGE_SPREAD * rand::random::<f64>());
+            self.due_in = Some(due_in + spread + self.spread());
+            self.shared.counters.count("shed", self.admitted.service.as_str());
+            return Err(self.refusal(Reason::Overloaded));
+        }
         for _ in 0..MAX_PERMIT_REQUESTS {
             let target = self.next_target().await?;
             let has_choice = !self.admitted.keyed
@@ -82,7 +92,7 @@
 
     /// Returns how long the request can wait for a permit, and its priority. A request that has a
     /// choice of targets does not wait.
-    fn permit_request(&self, has_choice: bool) -> PermitRequest {
+    pub(super) fn permit_request(&self, has_choice: bool) -> PermitRequest {
         let snapshot = self.shared.snapshot.load();
         let routes = snapshot.routing.iter().flat_map(|routing| &routing.routes);
         let competing = routes
@@ -129,7 +139,10 @@
                         && target.condition.intake(target.in_flight(), false).admits()
                 })
             }
-            _ => choose::choose_unkeyed(self.shared, snapshot, &self.admitted.service, &self.tried),
+            _ => {
+                let Self { shared, admitted, tried, .. } = self;
+                choose::choose_unkeyed(shared, snapshot, &admitted.service, tried, &admitted.call)
+            }
         }
     }
 }
--- a/crates/edge/src/traffic/choose.rs
+++ b/crates/edge/src/traffic/choose.rs
@@ -4,10 +4,17 @@
 //! compared all of them, many requests could go to the same target at once.
 
 use {
-    crate::{shared::Shared, snapshot::Snapshot, traffic::target::Target},
+    crate::{
+        shared::Shared,
+        snapshot::Snapshot,
+        traffic::{attempt::Call, reported, target::Target},
+    },
     conf::routing::{Route, WeightedService},
     key::{Service, Zone, clock::Tick},
-    route::backpressure::Intake,
+    route::{
+        backpressure::Intake,
+        load::selection::{self, Candidate},
+    },
     std::sync::Arc,
 };
 
@@ -39,6 +46,7 @@
     snapshot: &Snapshot,
     service: &Service,
     tried: &[Arc<Target>],
+    call: &Call,
 ) -> Option<Arc<Target>> {
     let ready = snapshot.ready.get(service)?;
     let (now, entries) = (Tick::now(), snapshot.entries);
@@ -69,6 +77,9 @@
     // Targets that leave by their own word are no longer among `ready` once the control thread
     // knows.
     candidates.retain(|target| !target.condition.is_closed());
+    if let Some(target) = choose_by_load(shared, service, &mut candidates, call) {
+        return Some(target);
+    }
     let compared = COMPARED_TARGETS.min(candidates.len());
     for index in 0..compared {
         let other = rand::random_range(index..candidates.len());
@@ -79,6 +90,53 @@
     cheapest.map(|target| Arc::clone(target))
 }
 
+/// Returns the target to send to by the load that targets report: among a few of each zone drawn at
+/// random, and besides those known to be full while there are others. Returns `None` if no target
+/// reports its load.
+fn choose_by_load(
+    shared: &Shared,
+    service: &Service,
+    candidates: &mut [&Arc<Target>],
+    call: &Call,
+) -> Option<Arc<Target>> {
+    let usual = shared.news.usual(service);
+    usual.work_s()?;
+    candidates.sort_by_key(|target| target.zone != shared.settings.zone);
+    let own = candidates.partition_point(|target| target.zone == shared.settings.zone);
+    let draw = |count| rand::random_range(0..count);
+    for zone in <[_; 2]>::from(candidates.split_at_mut(own)) {
+        selection::draw_to_front(zone, selection::COMPARED, draw);
+    }
+    let is_short = |target: &Target| reported::shortage_at(target, &usual, call, 0).is_some();
+    let others = (own..candidates.len()).take(selection::COMPARED);
+    let drawn: Vec<usize> = (0..own).take(selection::COMPARED).chain(others).collect();
+    let mut compared: Vec<&Arc<Target>> = drawn.iter().map(|index| candidates[*index]).collect();
+    compared.retain(|target| !is_short(target));
+    if compared.is_empty() {
+        compared.extend(candidates.iter().filter(|target| !is_short(target)));
+        selection::draw_to_front(&mut compared, selection::COMPARED, draw);
+        compared.truncate(selection::COMPARED);
+    }
+    if compared.is_empty() {
+        compared.extend(drawn.iter().map(|index| candidates[*index]));
+    }
+    let candidate = |target: &&Arc<Target>| {
+        let is_own_zone = target.zone == shared.settings.zone;
+        match reported::estimate(target, &usual) {
+            Some(estimate) => Candidate::new(&estimate, is_own_zone),
+            None => Candidate {
+                time_s: target.expected_latency().as_secs_f64(),
+                uncertainty: 0.0,
+                waits: false,
+                is_own_zone,
+            },
+        }
+    };
+    let estimates: Vec<Candidate> = compared.iter().map(candidate).collect();
+    let chosen = selection::select(&estimates, rand::random::<f64>)?;
+    compared.get(chosen).map(|target| Arc::clone(target))
+}
+
 /// Returns the targets that take a request, if only for lack of others.
 fn admitting(ready: &[Arc<Target>]) -> impl Iterator<Item = &Arc<Target>> {
     ready.iter().filter(|target| target.condition.intake(target.in_flight(), false).admits())
--- a/crates/edge/src/traffic/condition.rs
+++ b/crates/edge/src/traffic/condition.rs
@@ -117,6 +117,17 @@
         lock(&self.backpressure).record_shed(Instant::now());
     }
 
+    /// Records that a request at the target has had no response for longer than such requests
+    /// take, so that others are preferred for a while.
+    pub(crate) fn record_hang(&self) {
+        lock(&self.backpressure).record_hang(Instant::now());
+    }
+
+    /// Records that such a request was answered after all.
+    pub(crate) fn record_late_answer(&self) {
+        lock(&self.backpressure).record_late_answer();
+    }
+
     /// Records that the target denied to hold keys that a map assigns to it.
     pub(crate) fn record_denial(&self, span: Span, map_version: Version) {
         let now = Instant::now();
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -10,5 +10,6 @@
 pub(crate) mod notice;
 pub(crate) mod refusal;
 pub(crate) mod relay;
+pub(crate) mod reported;
 pub(crate) mod server;
 pub(crate) mod target;
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -1,7 +1,10 @@
 //! The pool of connections to one instance of a target, and what this entry has observed of it.
 
 use {
-    crate::{sync::lock, traffic::condition::Condition},
+    crate::{
+        sync::lock,
+        traffic::{condition::Condition, reported::Reported},
+    },
     bytes::Bytes,
     hold::{Instance, Registration},
     http_body_util::Full,
@@ -122,6 +125,8 @@
     latency_sum_us: AtomicU64,
     /// Whether it can be used, as far as this entry knows.
     pub(crate) condition: Condition,
+    /// What it reports of its load.
+    pub(crate) reported: Reported,
 }
 
 /// A connection in use. It is released to the pool of its target only after the whole response was
@@ -147,6 +152,7 @@
             answer_count: AtomicU32::new(0),
             latency_sum_us: AtomicU64::new(0),
             condition: Condition::default(),
+            reported: Reported::default(),
         }
     }
 
--- a/crates/route/src/load/usual.rs
+++ b/crates/route/src/load/usual.rs
@@ -26,9 +26,8 @@
 /// The averages of one service.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usual {
-    /// The average response time in seconds, and the average of what it is a multiple of the work.
-    time_s: f64,
-    multiple: f64,
+    /// The average time that a request takes in a free slot at the usual speed, in seconds.
+    work_s: Option<f64>,
     /// The average number of requests for each slot, and when it was updated.
     occupied: Option<(f64, Instant)>,
     /// The requests for each slot at a target that turned one away, and when that was.
@@ -55,22 +54,20 @@
     }
 
     /// Records the time of a response that named a load. The load at the end of a request is on
-    /// average that at its beginning, so the ratio of both sums gives the work.
+    /// average that at its beginning. Each response counts alike, so that one target with false
+    /// reports changes little.
     pub fn record_time(&mut self, load: Load, elapsed: Duration) {
         let multiple = load.work_factor() * (1.0 + turns(load.occupied(), f64::from(load.slots)));
-        if self.multiple == 0.0 {
-            (self.time_s, self.multiple) = (elapsed.as_secs_f64(), multiple);
-        } else {
-            self.time_s += (elapsed.as_secs_f64() - self.time_s) * WORK_WEIGHT;
-            self.multiple += (multiple - self.multiple) * WORK_WEIGHT;
-        }
+        let seen = elapsed.as_secs_f64() / multiple;
+        let known = self.work_s.unwrap_or(seen);
+        self.work_s = Some(known + (seen - known) * WORK_WEIGHT);
     }
 
     /// Returns the time that a request takes in a free slot at the usual speed, in seconds, once a
     /// response has shown it.
     #[must_use]
-    pub fn work_s(&self) -> Option<f64> {
-        (self.multiple > 0.0).then(|| self.time_s / self.multiple)
+    pub const fn work_s(&self) -> Option<f64> {
+        self.work_s
     }
 
     /// Returns the number of requests for each slot from which targets turned others away, if that
