Test the choice by reported load and refusals on loopback

The stand-in target now names a load on request, and `reported_load` checks that a target that reports to be full gets nothing while others are free, and that a request which none can answer in time is refused as not run with a Retry-After and reaches no target.

--- a/crates/standin/src/holder.rs
+++ b/crates/standin/src/holder.rs
@@ -85,6 +85,9 @@
     /// The rate limit that each response to a request names, in requests per second over all
     /// entries; zero names none. The target only names the limit and runs what arrives.
     pub limit_per_s: u32,
+    /// The load that each response to a request names, as running and waiting requests and slots;
+    /// no slots name none. The target runs what arrives, whatever it names.
+    pub load: [u32; 3],
 }
 
 /// A span of keys that the target holds under a grant.
@@ -308,8 +311,9 @@
 
     /// Runs or refuses a request of a caller, and says in the reply what the target wants.
     async fn handle_caller_request(&self, request: Request<Incoming>) -> Reply {
-        let Fault { limit_per_s, says_leaving, retry_after_s, .. } = self.state().fault;
-        if limit_per_s == 0 && !says_leaving && retry_after_s == 0 {
+        let Fault { limit_per_s, says_leaving, retry_after_s, load, .. } = self.state().fault;
+        let [running, waiting, slots] = load;
+        if limit_per_s == 0 && !says_leaving && retry_after_s == 0 && slots == 0 {
             return self.run_request(request).await;
         }
         let id = header(request.headers(), "attempt-id").map(str::to_owned);
@@ -320,6 +324,11 @@
         if limit_per_s > 0 {
             headers.insert("server-limit", limit_per_s.into());
         }
+        if slots > 0
+            && let Ok(load) = format!("{running},{waiting},{slots}").parse()
+        {
+            headers.insert("server-load", load);
+        }
         if says_leaving {
             headers.insert("server-leaving", 1.into());
         }
