--- a/crates/edge/src/traffic/attempts/choosing.rs
+++ b/crates/edge/src/traffic/attempts/choosing.rs
@@ -28,6 +28,10 @@
 /// priority below adds as much.
 const RETURN_SPREAD: Duration = Duration::from_millis(80);
 
+/// The part of the time until capacity is expected by which callers are spread in addition. The
+/// longer that time, the more of them wait for it.
+const SHORTAGE_SPREAD: f64 = 0.3;
+
 /// The priority from which the spread grows no more.
 const MAX_SPREAD_RANK: u32 = 3;
 
@@ -55,6 +59,12 @@
             self.due_in = Some(EVACUATED_RETRY_AFTER + self.spread());
             return Err(self.refusal(Reason::Unreachable));
         }
+        if let Some(due_in) = self.shortage() {
+            let spread = due_in.mul_f64(SHORTAGE_SPREAD * rand::random::<f64>());
+            self.due_in = Some(due_in + spread + self.spread());
+            self.shared.counters.count("shed", self.admitted.service.as_str());
+            return Err(self.refusal(Reason::Overloaded));
+        }
         for index in 0..MAX_PERMIT_REQUESTS {
             let target = self.next_target().await?;
             // Without a warm target, the last request for a permit may wait for it.
@@ -94,7 +104,7 @@
 
     /// Gets a permit for a target if it is cold or may be, and waits until it is due. Returns until
     /// when it may be used, or the time after which the next one is due.
-    async fn acquire_cold(
+    pub(super) async fn acquire_cold(
         &self,
         target: &Target,
         has_other: bool,
@@ -145,7 +155,7 @@
 
     /// Returns how long the request can wait for a permit, and its priority. A request that has a
     /// choice of targets does not wait.
-    fn permit_request(&self, has_choice: bool) -> PermitRequest {
+    pub(super) fn permit_request(&self, has_choice: bool) -> PermitRequest {
         let snapshot = self.shared.snapshot.load();
         let routes = snapshot.routing.iter().flat_map(|routing| &routing.routes);
         let competing = routes
@@ -196,9 +206,10 @@
                 })
             }
             _ => {
+                let Self { shared, admitted, tried, .. } = self;
                 let is_refused = self.due_in.is_some();
-                let service = &self.admitted.service;
-                choose::choose_unkeyed(self.shared, snapshot, service, &self.tried, is_refused)
+                let (service, call) = (&admitted.service, &admitted.call);
+                choose::choose_unkeyed(shared, snapshot, service, tried, call, is_refused)
             }
         }
     }
--- a/crates/edge/src/traffic/mod.rs
+++ b/crates/edge/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod notice;
 pub(crate) mod refusal;
 pub(crate) mod relay;
+pub(crate) mod reported;
 pub(crate) mod server;
 pub(crate) mod target;
 pub(crate) mod warming;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod choice;
 pub mod crash_log;
 pub mod header;
+pub mod hedge;
 pub mod load;
 pub mod locate;
 pub mod outcome;
