Test callers that respect no limits

Missing: no test had callers whose requests are each legal, or nearly, and together more than a small VM has.

The tests of misbehaving.rs let a crowd at an entry whose settings name 96 MB and 320 descriptors, on paths with and without a route, the readiness check, the listener for entries and while it is stopping. The process must live, stay under both bounds, and answer an ordinary request and the readiness check while the crowd is there. Only one runs at a time.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,7 +8,8 @@
 
 The stand-ins write journals of what they did ([`journal`]). Tests prove the product's guarantees
 from these journals ([`check`]), never from the product's own logs. [`load`] generates requests at
-a fixed rate, and [`caller`] builds requests and routing texts of the users' platform.
+a fixed rate, [`caller`] builds requests and routing texts of the users' platform, and
+[`misbehaving`] has callers that respect no limits.
 
 Nothing of this crate is shipped.
 */
@@ -21,6 +22,7 @@
 pub mod holder;
 pub mod journal;
 pub mod load;
+pub mod misbehaving;
 pub mod platform;
 pub mod proxy;
 mod raw;
--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -123,6 +123,12 @@
         number.and_then(|number| number.parse().ok()).unwrap_or_default()
     }
 
+    /// Returns the number of open file descriptors; zero if the process has ended.
+    pub(crate) fn descriptors(&self) -> usize {
+        let dir = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(dir).map_or(0, Iterator::count)
+    }
+
     /// Kills the process and waits for it.
     pub(crate) fn kill(&mut self) {
         self.child.kill().ok();
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -183,6 +183,29 @@
         self.store.write_row("op", "config", routing.to_string().as_bytes());
     }
 
+    /// Writes a version of the routing configuration with bodies of up to `body_bytes`, in which each
+    /// route allows `objective` for an answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in makes a routing text without hosts.
+    pub fn write_routing_with_bodies(
+        &self,
+        version: u64,
+        routes: &[Route],
+        objective: &str,
+        body_bytes: usize,
+    ) {
+        let mut routing = caller::routing_text(version, HOST_HEADER, routes);
+        routing["limits"]["maxBodyBytes"] = body_bytes.into();
+        let paths = routing["hosts"][0]["paths"].as_array_mut().expect("a list of paths");
+        for path in paths {
+            path["targetLatency"] = objective.into();
+            path["timeout"] = objective.into();
+        }
+        self.store.write_row("op", "config", routing.to_string().as_bytes());
+    }
+
     /// Writes a version of the routing configuration that has `filler` routes more, which no
     /// request uses.
     ///
--- a/crates/trial/src/site/entries.rs
+++ b/crates/trial/src/site/entries.rs
@@ -21,6 +21,7 @@
     pub(super) caller_address: SocketAddr,
     pub(super) ready_address: SocketAddr,
     pub(super) peer_address: SocketAddr,
+    pub(super) relay_address: SocketAddr,
     pub(super) metrics_address: SocketAddr,
     pub(super) settings_path: PathBuf,
     /// The proxy between the entry and the store.
@@ -66,6 +67,7 @@
             caller_address,
             ready_address,
             peer_address,
+            relay_address,
             metrics_address,
             settings_path,
             store_proxy,
@@ -165,6 +167,30 @@
         self.entries[index].process.as_ref().map_or(0, Process::memory_kb)
     }
 
+    /// Returns the number of open file descriptors of an entry; zero if it is not running.
+    #[must_use]
+    pub fn entry_descriptors(&self, index: usize) -> usize {
+        self.entries[index].process.as_ref().map_or(0, Process::descriptors)
+    }
+
+    /// Returns the address at which an entry serves callers.
+    #[must_use]
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.entries[index].caller_address
+    }
+
+    /// Returns the address at which the load balancer checks an entry.
+    #[must_use]
+    pub fn ready_address(&self, index: usize) -> SocketAddr {
+        self.entries[index].ready_address
+    }
+
+    /// Returns the address at which an entry takes requests from isolated ones.
+    #[must_use]
+    pub fn relay_address(&self, index: usize) -> SocketAddr {
+        self.entries[index].relay_address
+    }
+
     /// Suspends an entry with SIGSTOP, or resumes it.
     pub fn set_entry_paused(&self, index: usize, paused: bool) {
         if let Some(process) = &self.entries[index].process {
