Limit the connections and bytes that a listener holds

Missing: nothing bounded what all callers of a process together make it hold.

The new crate quota decides, without input, output or clock: one budget of bytes with a part for small requests, places for connections by group, and which connection is closed when either is short (the slowest sender or reader, then the longest idle; never one whose request was read whole, since it may be running at a target). wire::Limiter keeps it for a process and ends the tasks of the connections that it names. Bodies are copied into one buffer, which grows with what arrives: a frame of 64 bytes kept the whole buffer that it was read into. wire::serve keeps its signature, with limits that only exclude the absurd.

--- a/crates/standin/src/misbehaving.rs
+++ b/crates/standin/src/misbehaving.rs
@@ -202,10 +202,10 @@
     let mut rest = script.slow_bytes.iter();
     loop {
         time::sleep(SLOW_INTERVAL).await;
-        if let Some(byte) = rest.next() {
-            if stream.write_all(&[*byte]).await.is_err() {
-                return;
-            }
+        if let Some(byte) = rest.next()
+            && stream.write_all(&[*byte]).await.is_err()
+        {
+            return;
         }
         if script.reads_slowly && !matches!(stream.read(&mut [0]).await, Ok(1)) {
             return;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,19 +8,25 @@
 */
 
 mod client;
+mod collect;
 mod error;
 mod forward;
+mod limiter;
 mod listener;
+mod metered;
 mod sending;
 mod server;
 mod socket;
 
 pub use crate::{
     client::{Client, Config},
+    collect::{CollectError, Tracked, collect},
     error::{Error, ErrorKind},
     forward::remove_hop_by_hop,
+    limiter::{Held, Lease, Limiter, Permit, Reservation},
     listener::{accept, accept_until},
+    metered::{MAX_HEAD_BYTES, Metered},
     sending::with_sending_delay,
-    server::{Reply, json, read_body, read_json, serve, status},
+    server::{Reply, json, read_body, read_json, serve, serve_within, status},
     socket::socket,
 };
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,15 +1,22 @@
 //! The HTTP server and helpers for its handlers.
 
 use {
-    crate::{Error, ErrorKind, listener::accept},
+    crate::{
+        Error, ErrorKind,
+        collect::collect,
+        limiter::{Limiter, Permit},
+        listener::accept,
+        metered::{MAX_HEAD_BYTES, Metered},
+    },
     bytes::Bytes,
     http::{Request, Response, StatusCode, header},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    quota::{Group, Limits},
     serde::{Serialize, de::DeserializeOwned},
     std::{convert::Infallible, future::Future, time::Duration},
-    tokio::net::TcpListener,
+    tokio::net::{TcpListener, TcpStream},
 };
 
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -21,11 +28,11 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::TooLarge`] if the body exceeds the limit or breaks off.
+/// Returns [`ErrorKind::TooLarge`] if the body exceeds the limit, has no room, or breaks off.
 pub async fn read_body(request: Request<Incoming>, limit: usize) -> Result<Bytes, Error> {
-    let body = Limited::new(request.into_body(), limit).collect().await;
-    body.map(http_body_util::Collected::to_bytes)
-        .map_err(|error| Error::new(ErrorKind::TooLarge(limit), None, error))
+    let (parts, incoming) = request.into_parts();
+    let body = collect(incoming, limit, parts.extensions.get::<Permit>()).await;
+    body.map_err(|error| Error::new(ErrorKind::TooLarge(limit), None, error))
 }
 
 /// Reads the body of a request, up to `limit` bytes, and deserializes it from JSON.
@@ -61,8 +68,20 @@
     reply
 }
 
-/// Accepts connections on `listener` and answers each request with `handler`; never returns.
+/// Accepts connections on `listener` and answers each request with `handler`, within the limits of a
+/// process whose settings name none; never returns.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let limiter = Limiter::new(Limits::of_vm(None, None));
+    serve_within(listener, limiter, Group::Control, handler).await;
+}
+
+/// Accepts connections on `listener` and answers each request with `handler`, within the limits that
+/// all listeners of a process share; never returns.
+pub async fn serve_within<H, F>(listener: TcpListener, limiter: Limiter, group: Group, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Reply> + Send + 'static,
@@ -72,17 +91,33 @@
             log::warn!("a connection for control traffic was not accepted: {error}");
         })
         .await;
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let reply = handler(request);
-            async move { Ok::<_, Infallible>(reply.await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_READ_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            connection.await.ok();
-        });
+        if let Some(permit) = limiter.admit(group) {
+            serve_connection(stream, &permit, handler.clone());
+        }
     }
 }
+
+/// Serves one connection in a task of its own.
+fn serve_connection<H, F>(stream: TcpStream, permit: &Permit, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let stream = Metered::new(stream, permit.clone(), MAX_HEAD_BYTES);
+    let of_request = permit.clone();
+    let service = service_fn(move |mut request| {
+        let permit = of_request.clone();
+        permit.begin(&mut request);
+        let reply = handler(request);
+        async move { Ok::<_, Infallible>(permit.respond(reply.await)) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let task = tokio::spawn(async move {
+        connection.await.ok();
+    });
+    permit.set_task(task.abort_handle());
+}
