Keep what an entry holds for callers and targets within its VM

What was seen: an entry went from 8 MB to 322 MB with 400 callers that each stop a byte before the end of 1 MB, and to 3,281 MB with 512 KB in chunks of 64 bytes; nothing bounded connections either.

Cause: bodies were collected whole, frame by frame, without a common bound; each listener accepted any number of connections; and each order that found only connections idle for 400 ms opened another one to its target while the old ones stayed for 4 s.

All listeners of an entry (callers, relays, readiness, metrics, control) and its connections to targets now share one wire::Limiter, made from the new optional settings memory and descriptors (filled in from limits.memoryMb and limits.maxFds). The allowance for gathered responses is part of it. A body without room is refused as not run (503), as is a request for which no connection to a target can be opened. What was refused or closed is logged in one line a second.

Without the settings: 1,024 MB and no limit on descriptors.

--- a/crates/conf/src/platform_settings.rs
+++ b/crates/conf/src/platform_settings.rs
@@ -7,6 +7,7 @@
 use {
     crate::{BoundedU64, Error, ErrorKind, TimeSpan, parse::parse},
     key::{Vm, Zone},
+    quota::Limits,
     serde::Deserialize,
     std::{
         fs,
@@ -70,6 +71,12 @@
     /// The share of a processor core that this process may use.
     #[serde(default = "default_power")]
     pub power: f64,
+    /// The memory that this process may use, in megabytes; without it, only the absurd is excluded.
+    #[serde(default)]
+    pub memory: Option<BoundedU64<16, 16_777_216>>,
+    /// The number of file descriptors that this process may have; without it, there is no limit.
+    #[serde(default)]
+    pub descriptors: Option<BoundedU64<128, 16_777_216>>,
     /// The maximum number of log lines of one kind a second.
     #[serde(default = "default_log_rate")]
     pub log_lines_per_s: BoundedU64<1, 100_000>,
@@ -177,6 +184,12 @@
         Ok(parse::<Probe>(text)?.store.is_some())
     }
 
+    /// Returns the limits of what is held for callers and targets.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        Limits::of_vm(self.memory.map(BoundedU64::get), self.descriptors.map(BoundedU64::get))
+    }
+
     /// Returns the time from the signal to stop until the process must have exited by itself.
     #[must_use]
     pub fn stop_timeout(&self) -> std::time::Duration {
--- a/crates/edge/src/control/peers.rs
+++ b/crates/edge/src/control/peers.rs
@@ -22,6 +22,7 @@
     hyper::body::{Body, Incoming},
     key::Version,
     member::Pace,
+    quota::Group,
     serde::Serialize,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -47,8 +48,9 @@
 
 /// Serves the calls of peers; never returns.
 pub(crate) async fn serve(listener: TcpListener, inputs: Sender<Input>, shared: Arc<Shared>) {
+    let limiter = shared.limiter.clone();
     let handle = move |request| handle_call(request, inputs.clone(), Arc::clone(&shared));
-    wire::serve(listener, handle).await;
+    wire::serve_within(listener, limiter, Group::Control, handle).await;
 }
 
 /// Handles one call of a peer, and counts the bytes of its body and of the reply.
--- a/crates/edge/src/gather.rs
+++ b/crates/edge/src/gather.rs
@@ -2,69 +2,17 @@
 //!
 //! A gathered body can still be replaced by another attempt's. Each one is bounded, but a target in
 //! trouble may answer many requests at once with bytes that never end, and they would add up to more
-//! than a small machine has. So all of them share an allowance, and a body for which none is left is
-//! passed on as it arrives. What a caller has not read yet counts until it has.
+//! than a small machine has. So all of them draw on the process's budget ([`wire::Limiter`]), and a
+//! body for which there is no room is passed on as it arrives. What a caller has not read yet counts
+//! until it has.
 
 use {
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    wire::Reservation,
 };
 
-/// The largest memory for all bodies that are gathered at the same time, in bytes.
-const MAX_GATHERED_BYTES: usize = 16 << 20;
-
-/// The memory that is left for gathering bodies.
-#[derive(Debug)]
-pub(crate) struct Allowance {
-    left: AtomicUsize,
-}
-
-impl Default for Allowance {
-    fn default() -> Self {
-        Self { left: AtomicUsize::new(MAX_GATHERED_BYTES) }
-    }
-}
-
-impl Allowance {
-    /// Reserves memory, or returns `None` if there is not enough left.
-    pub(crate) fn reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
-        let mut reservation = Reservation { allowance: Arc::clone(self), bytes: 0 };
-        reservation.grow_to(bytes).then_some(reservation)
-    }
-}
-
-/// Reserved memory, which is given back when this is dropped.
-#[derive(Debug)]
-pub(crate) struct Reservation {
-    allowance: Arc<Allowance>,
-    bytes: usize,
-}
-
-impl Reservation {
-    /// Reserves more memory if less than `bytes` is reserved. Returns false if not enough is left.
-    pub(crate) fn grow_to(&mut self, bytes: usize) -> bool {
-        let more = bytes.saturating_sub(self.bytes);
-        let take = |left: usize| left.checked_sub(more);
-        let left = &self.allowance.left;
-        let is_taken = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok();
-        if is_taken {
-            self.bytes += more;
-        }
-        is_taken
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.allowance.left.fetch_add(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Bytes that keep their memory reserved until nobody uses them any more.
 struct Gathered {
     bytes: BytesMut,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,5 +20,6 @@
 mod snapshot;
 mod sync;
 mod traffic;
+mod usage;
 
 pub use crate::{error::Error, process::run};
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -10,10 +10,12 @@
             relay::probe_targets,
             server::{self, Kind},
         },
+        usage,
     },
     conf::PlatformSettings,
     http::StatusCode,
     key::{Incarnation, Process},
+    quota::Group,
     report::Journal,
     serde::Serialize,
     std::{
@@ -123,20 +125,27 @@
     let (stop, stopped) = watch::channel(false);
     let callers = TcpListener::from_std(callers)?;
     let for_ready = Arc::clone(shared);
-    tokio::spawn(wire::serve(TcpListener::from_std(ready)?, move |request| {
+    let answer_check = move |request| {
         let response = server::handle_readiness_check(&for_ready, &request);
         async move { response }
-    }));
+    };
+    let limiter = || shared.limiter.clone();
+    let ready = TcpListener::from_std(ready)?;
+    tokio::spawn(wire::serve_within(ready, limiter(), Group::Readiness, answer_check));
     let for_metrics = Arc::clone(shared);
-    tokio::spawn(wire::serve(TcpListener::from_std(metrics)?, move |_| {
+    let answer_metrics = move |_| {
         for_metrics.counters.set("log_lines_lost", for_metrics.journal.dropped_lines());
+        usage::record(&for_metrics);
         let text = for_metrics.counters.to_prometheus();
         async move {
             let mut reply = wire::status(StatusCode::OK);
             *reply.body_mut() = http_body_util::Full::new(text.into());
             reply
         }
-    }));
+    };
+    let metrics = TcpListener::from_std(metrics)?;
+    tokio::spawn(wire::serve_within(metrics, limiter(), Group::Control, answer_metrics));
+    tokio::spawn(usage::log_changes(Arc::clone(shared)));
     tokio::spawn(validate_settings_on_hangup(Arc::clone(shared), file));
     let stop_timeout = shared.settings.stop_timeout();
     let timeout = stop_timeout.saturating_sub(STOP_NOTICE);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,9 +1,7 @@
 //! The state that the traffic and the control thread share.
 
 use {
-    crate::{
-        freshness::Freshness, gather::Allowance, metrics::Counters, snapshot::Snapshot, sync::lock,
-    },
+    crate::{freshness::Freshness, metrics::Counters, snapshot::Snapshot, sync::lock},
     arc_swap::ArcSwap,
     conf::PlatformSettings,
     hold::Instance,
@@ -22,6 +20,7 @@
         time::{Duration, Instant},
     },
     tokio::sync::watch,
+    wire::Limiter,
 };
 
 /// The part of the time limit for leaving targets that is held back for latency: the delivery of
@@ -68,8 +67,8 @@
     pub(crate) counters: Counters,
     /// The client with which the traffic thread asks other entries for permits.
     pub(crate) permit_client: wire::Client,
-    /// The memory for bodies that are gathered.
-    pub(crate) gathering: Arc<Allowance>,
+    /// The limits of what is held for callers and targets.
+    pub(crate) limiter: Limiter,
     feedback: Mutex<Feedback>,
     quarantine: Mutex<Quarantine>,
     budgets: Mutex<HashMap<Service, Window>>,
@@ -85,6 +84,7 @@
         journal: Journal,
         permit_client: wire::Client,
     ) -> Arc<Self> {
+        let limiter = Limiter::new(settings.limits());
         Arc::new(Self {
             settings,
             snapshot: ArcSwap::default(),
@@ -95,7 +95,7 @@
             journal,
             counters: Counters::default(),
             permit_client,
-            gathering: Arc::default(),
+            limiter,
             feedback: Mutex::default(),
             quarantine: Mutex::default(),
             budgets: Mutex::default(),
--- a/crates/edge/src/traffic/admission.rs
+++ b/crates/edge/src/traffic/admission.rs
@@ -8,13 +8,13 @@
     bytes::Bytes,
     conf::routing::{RequestKind, Route, Routing},
     http::{Request, header as standard, request::Parts},
-    http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     key::Service,
     platform::header,
     route::{Reason, Refusal, quarantine::Fingerprint},
     std::time::{Duration, Instant},
     tokio::time,
+    wire::{CollectError, Permit},
 };
 
 /// The time that a caller is assumed to wait if its request names none.
@@ -78,7 +78,8 @@
     let caller_timeout = header::remaining_time(&parts.headers).unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let deadline = arrived_at + caller_timeout.saturating_sub(RESPONSE_MARGIN).min(route.timeout());
     let limit = routing.limits.body_bytes as usize;
-    let body = read_body(incoming, limit, deadline).await?;
+    let permit = parts.extensions.get::<Permit>();
+    let body = read_body(incoming, limit, permit, deadline).await?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let fingerprint = Fingerprint::new(parts.method.as_str(), path, &body);
     let keyed = routing.service(&service).is_some_and(|service| service.keyed);
@@ -107,9 +108,19 @@
     index.map(|index| &routing.routes[index]).ok_or(Refusal::not_run(reason))
 }
 
-async fn read_body(incoming: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let body = Limited::new(incoming, limit).collect();
+async fn read_body(
+    incoming: Incoming,
+    limit: usize,
+    permit: Option<&Permit>,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let body = wire::collect(incoming, limit, permit);
     let result = time::timeout_at(deadline.into(), body).await;
     let body = result.map_err(|_| Refusal::not_run(Reason::Deadline))?;
-    Ok(body.map_err(|_| Refusal::not_run(Reason::BadBody))?.to_bytes())
+    body.map_err(|error| {
+        Refusal::not_run(match error {
+            CollectError::NoRoom => Reason::Overloaded,
+            CollectError::TooLong(_) | CollectError::Broken(_) => Reason::BadBody,
+        })
+    })
 }
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -114,10 +114,12 @@
         (false, true) => Reuse::Trusted,
         (false, false) => Reuse::Any,
     };
-    let mut connection = match target.connect(reuse).await {
+    let mut connection = match target.connect(reuse, &shared.limiter).await {
         Ok(connection) => connection,
         Err(error) => {
-            record_reach(shared, target, way, false);
+            if error != ConnectError::NoRoom {
+                record_reach(shared, target, way, false);
+            }
             return AttemptResult::Unsent(error);
         }
     };
@@ -209,7 +211,7 @@
         Some(size) => (size as usize, size as usize),
         None => (0, MAX_BUFFERED_UNSIZED_BYTES),
     };
-    let Some(reservation) = shared.gathering.reserve(expected_bytes) else {
+    let Some(reservation) = shared.limiter.hold_response(expected_bytes) else {
         shared.counters.count("bodies", "no memory to gather");
         return answer(stream(Bytes::new(), incoming, connection));
     };
--- a/crates/edge/src/traffic/attempts.rs
+++ b/crates/edge/src/traffic/attempts.rs
@@ -275,6 +275,9 @@
     /// targets were tried, or no process listens at the address of the holder.
     fn check_unsent(&self, error: ConnectError) -> Result<(), Refusal> {
         const MAX_UNSENT_ATTEMPTS: usize = 4;
+        if error == ConnectError::NoRoom {
+            return Err(self.refusal(Reason::Overloaded));
+        }
         if self.tried.len() > MAX_UNSENT_ATTEMPTS
             || (self.admitted.keyed && error == ConnectError::Refused)
         {
@@ -299,7 +302,7 @@
 
     /// Reports that the request may have crashed the target, if the target's process has ended.
     async fn report_crash(&self, target: &Target) {
-        if !target.probe_ended().await {
+        if !target.probe_ended(&self.shared.limiter).await {
             return;
         }
         // Many targets that refuse connections at once have not crashed: the links are at fault.
--- a/crates/edge/src/traffic/relay.rs
+++ b/crates/edge/src/traffic/relay.rs
@@ -14,7 +14,7 @@
     crate::{
         shared::Shared,
         snapshot::{Relay, Snapshot},
-        traffic::target::{Reuse, Target},
+        traffic::target::{ConnectError, Reuse, Target},
     },
     http::{HeaderMap, HeaderName, HeaderValue},
     route::Reason,
@@ -109,11 +109,12 @@
             continue;
         }
         let target = Arc::clone(ready[rand::random_range(0..ready.len())]);
-        let reached = match target.connect(Reuse::None).await {
+        let reached = match target.connect(Reuse::None, &shared.limiter).await {
             Ok(connection) => {
                 connection.release();
                 true
             }
+            Err(ConnectError::NoRoom) => continue,
             Err(_) => false,
         };
         shared.record_reach(&target.instance, reached);
--- a/crates/edge/src/traffic/server.rs
+++ b/crates/edge/src/traffic/server.rs
@@ -9,21 +9,20 @@
         rt::{TokioIo, TokioTimer},
         server::graceful::GracefulShutdown,
     },
+    quota::Group,
     serde::Serialize,
     std::{convert::Infallible, io, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
     },
+    wire::{MAX_HEAD_BYTES, Metered, Permit},
 };
 
 /// The idle time after which a caller's connection is closed while no routing configuration is
 /// known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The size of the buffer of one connection, in bytes, which is also the largest request head.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-
 /// Who connects to a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -33,6 +32,15 @@
     Entries,
 }
 
+impl Kind {
+    const fn group(self) -> Group {
+        match self {
+            Self::Callers => Group::Callers,
+            Self::Entries => Group::Entries,
+        }
+    }
+}
+
 /// Serves callers, or entries that pass requests on, until `stop` is true, then waits until every
 /// response in flight has ended.
 ///
@@ -47,7 +55,10 @@
     let on_failure = |error| log_failed_accept(&shared, &error);
     wire::accept_until(stop, listener, timeout, on_failure, |stream, graceful| {
         shared.counters.count("connections", "accepted");
-        serve_connection(stream, &shared, kind, graceful);
+        match shared.limiter.admit(kind.group()) {
+            Some(permit) => serve_connection(stream, &shared, kind, &permit, graceful),
+            None => shared.counters.count("connections", "closed"),
+        }
     })
     .await
 }
@@ -67,6 +78,7 @@
     stream: TcpStream,
     shared: &Arc<Shared>,
     kind: Kind,
+    permit: &Permit,
     graceful: &GracefulShutdown,
 ) {
     let routing = shared.snapshot.load().routing.clone();
@@ -74,13 +86,17 @@
         .map_or(DEFAULT_IDLE_TIMEOUT, |routing| Duration::from_millis(routing.limits.idle_ms));
     let counted = Arc::clone(shared);
     let shared = Arc::clone(shared);
-    let service = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
+    let stream = Metered::new(stream, permit.clone(), MAX_HEAD_BYTES);
+    let of_request = permit.clone();
+    let service = service_fn(move |mut request| {
+        let (shared, permit) = (Arc::clone(&shared), of_request.clone());
+        permit.begin(&mut request);
         async move {
-            Ok::<_, Infallible>(match kind {
+            let response = match kind {
                 Kind::Callers => handle::handle_request(shared, request).await,
                 Kind::Entries => handle::handle_relayed(shared, request).await,
-            })
+            };
+            Ok::<_, Infallible>(permit.respond(response))
         }
     });
     let connection = http1::Builder::new()
@@ -89,11 +105,22 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
-    tokio::spawn(async move {
+    let closed = Closed(counted);
+    let task = tokio::spawn(async move {
         // An error means that the caller has disconnected; there is nobody to report it to.
         watched.await.ok();
-        counted.counters.count("connections", "closed");
+        drop(closed);
     });
+    permit.set_task(task.abort_handle());
+}
+
+/// Counts a connection as closed when it is dropped, also if its task is ended from outside.
+struct Closed(Arc<Shared>);
+
+impl Drop for Closed {
+    fn drop(&mut self) {
+        self.0.counters.count("connections", "closed");
+    }
 }
 
 /// Answers the readiness check of the load balancer: whether this entry takes new connections.
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -8,6 +8,7 @@
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     key::{Service, Zone},
+    quota::{Group, Phase},
     socket2::SockRef,
     std::{
         net::{IpAddr, SocketAddr},
@@ -22,6 +23,7 @@
         task::{AbortHandle, JoinHandle},
         time,
     },
+    wire::{Lease, Limiter},
 };
 
 /// The time that opening a connection may take.
@@ -65,6 +67,9 @@
     /// The target said that it wants nothing for a while.
     #[error("the target wants nothing for a while")]
     Deferred,
+    /// This process has as many connections open as it may have.
+    #[error("there is no room for a connection")]
+    NoRoom,
     /// The target does not answer, or the request could not be sent because the connection
     /// closed or the deadline passed.
     #[error("the target cannot be reached")]
@@ -94,6 +99,7 @@
 struct Channel {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    lease: Lease,
 }
 
 impl Drop for Channel {
@@ -154,13 +160,19 @@
     pub(crate) async fn connect(
         self: &Arc<Self>,
         reuse: Reuse,
+        limiter: &Limiter,
     ) -> Result<Connection, ConnectError> {
         while let Some(channel) = self.check_out_idle(reuse) {
-            if channel.sender.is_ready() {
+            if channel.sender.is_ready() && channel.lease.take() {
                 return Ok(Connection { target: Arc::clone(self), channel });
             }
         }
-        let channel = self.open().await.inspect_err(|_| self.record_unreachable())?;
+        let opened = self.open(limiter).await;
+        let channel = opened.inspect_err(|error| {
+            if *error != ConnectError::NoRoom {
+                self.record_unreachable();
+            }
+        })?;
         self.condition.record_reached();
         Ok(Connection { target: Arc::clone(self), channel })
     }
@@ -183,8 +195,11 @@
         Some(newest.channel)
     }
 
-    /// Opens a connection.
-    async fn open(&self) -> Result<Channel, ConnectError> {
+    /// Opens a connection, if need be in place of the one that has been idle for longest.
+    async fn open(&self, limiter: &Limiter) -> Result<Channel, ConnectError> {
+        let permit = limiter.admit(Group::Targets).ok_or(ConnectError::NoRoom)?;
+        let lease = permit.lease();
+        permit.set_phase(Phase::Running);
         let connect = async {
             let socket = wire::socket(self.address, self.source)?;
             SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
@@ -204,28 +219,33 @@
             std::io::ErrorKind::ConnectionRefused => ConnectError::Refused,
             _ => ConnectError::Unreachable,
         })?;
+        let of_task = permit.clone();
         let driver = tokio::spawn(async move {
             // The next use of the sender shows that the connection has ended.
             connection.await.ok();
+            drop(of_task);
         });
-        Ok(Channel { sender, driver })
+        permit.set_task(driver.abort_handle());
+        Ok(Channel { sender, driver, lease })
     }
 
     /// Opens a connection to find out whether the target's process has ended, and returns true if
     /// the connection is refused. A process that is ending may still accept connections and close
     /// them, so one that is closed at once is followed by another, until [`PROBE_TIMEOUT`].
-    pub(crate) async fn probe_ended(&self) -> bool {
+    pub(crate) async fn probe_ended(&self, limiter: &Limiter) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT;
         while Instant::now() < deadline {
-            match self.open().await {
+            match self.open(limiter).await {
                 Ok(channel) => {
                     time::sleep(PROBE_SETTLE_TIME).await;
                     if !channel.sender.is_closed() {
+                        channel.lease.give_back();
                         lock(&self.idle)
                             .push(IdleConnection { channel, idle_since: Instant::now() });
                         return false;
                     }
                 }
+                Err(ConnectError::NoRoom) => return false,
                 Err(error) => {
                     self.record_unreachable();
                     return error == ConnectError::Refused;
@@ -309,6 +329,7 @@
     pub(crate) fn release(self) {
         let Self { target, channel } = self;
         if !channel.sender.is_closed() {
+            channel.lease.give_back();
             lock(&target.idle).push(IdleConnection { channel, idle_since: Instant::now() });
         }
     }
