Use the limits on what is held under the product's own conventions

The entry of the product's own conventions had the same gaps: any number of connections, and bodies up to held_body_bytes without a common bound. Callers and operators now share a wire::Limiter, from the new optional settings traffic.memory and traffic.descriptors. A body that is passed on unread is not closed for being slow; its request may be running. The listener for peers (tarpc) is not limited.

Tested: conf and entry pass; no test lets a crowd at such an entry yet.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -6,6 +6,7 @@
         parse::{Step, locate, parse},
     },
     key::{Vm, Zone},
+    quota::Limits,
     serde::{Deserialize, Serialize},
     smol_str::SmolStr,
     std::{
@@ -130,6 +131,12 @@
     pub notice_ms: BoundedU64<0, 600_000>,
     /// The maximum wait of a stopping process for requests in flight, in milliseconds.
     pub stop_ms: BoundedU64<100, 86_400_000>,
+    /// The memory that this process may use, in megabytes; without it, only the absurd is excluded.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory: Option<BoundedU64<16, 16_777_216>>,
+    /// The number of file descriptors that this process may have; without it, there is no limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub descriptors: Option<BoundedU64<128, 16_777_216>>,
 }
 
 impl Default for Traffic {
@@ -140,10 +147,20 @@
             buffer_bytes: BoundedU64::clamped(64 << 10),
             notice_ms: BoundedU64::clamped(500),
             stop_ms: BoundedU64::clamped(3_600_000),
+            memory: None,
+            descriptors: None,
         }
     }
 }
 
+impl Traffic {
+    /// Returns the limits of what is held for callers.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        Limits::of_vm(self.memory.map(BoundedU64::get), self.descriptors.map(BoundedU64::get))
+    }
+}
+
 /// The minimum severity of log messages that are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -100,7 +100,8 @@
     context.started.send(Ok(())).ok();
     let connections = Rc::new(RefCell::new(PeerConnections::default()));
     let platform = table::client(settings);
-    spawn_local(operator::serve(operator_listener, inputs.clone()));
+    let limiter = context.shared.limiter.clone();
+    spawn_local(operator::serve(operator_listener, limiter, inputs.clone()));
     spawn_local(table::poll(platform.clone(), inputs.clone(), settings.control));
     spawn_local(table::poll_vms(platform.clone(), inputs.clone(), settings.control));
     spawn_local(shipper::run(platform.clone(), inputs.clone(), context.me.clone()));
--- a/crates/entry/src/control/operator.rs
+++ b/crates/entry/src/control/operator.rs
@@ -5,10 +5,12 @@
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
     key::{Fence, Incarnation, Process, Service, Shard, Term, Version, Vm, Zone},
+    quota::Group,
     report::{Record, burn::ServiceBurn},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, net::SocketAddr},
     tokio::{net::TcpListener, sync::oneshot},
+    wire::Limiter,
 };
 
 /// The size of the largest operators' configuration that is accepted.
@@ -209,8 +211,8 @@
 }
 
 /// Serves operators' requests until the process ends.
-pub(crate) async fn serve(listener: TcpListener, inputs: InputSender) {
-    wire::serve(listener, move |request| {
+pub(crate) async fn serve(listener: TcpListener, limiter: Limiter, inputs: InputSender) {
+    wire::serve_within(listener, limiter, Group::Control, move |request| {
         let inputs = inputs.clone();
         async move {
             let request = match parse_request(request).await {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,6 +12,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     tokio::sync::{mpsc, oneshot, watch},
+    wire::Limiter,
 };
 
 /// An observation that traffic reports to control.
@@ -36,6 +37,8 @@
     /// The number of requests that wait for a permit or an owner.
     pub(crate) waiting_requests: AtomicUsize,
     pub(crate) metrics: Metrics,
+    /// The limits of what is held for callers.
+    pub(crate) limiter: Limiter,
     /// Whether the quarantine has suspects, so that traffic can skip its lock while it has none.
     pub(crate) has_suspects: AtomicBool,
     quarantine: Mutex<Quarantine>,
@@ -47,6 +50,7 @@
         feedback: mpsc::Sender<Feedback>,
         metrics: Metrics,
     ) -> Arc<Self> {
+        let limiter = Limiter::new(settings.traffic.limits());
         Arc::new(Self {
             settings,
             snapshot: ArcSwap::default(),
@@ -55,6 +59,7 @@
             stopping: AtomicBool::new(false),
             waiting_requests: AtomicUsize::new(0),
             metrics,
+            limiter,
             has_suspects: AtomicBool::new(false),
             quarantine: Mutex::default(),
         })
--- a/crates/entry/src/traffic/handle.rs
+++ b/crates/entry/src/traffic/handle.rs
@@ -16,9 +16,9 @@
     },
     conf::services,
     http::{HeaderValue, Request, Response, StatusCode, Version, request::Parts},
-    http_body_util::{BodyExt, Limited},
     hyper::body::{Body as _, Incoming},
     key::{Process, Shard},
+    quota::Phase,
     route::{
         Reason, Refusal, choice, header, locate,
         quarantine::{CrashReport, Fingerprint},
@@ -31,6 +31,7 @@
         sync::{OwnedSemaphorePermit, oneshot},
         time,
     },
+    wire::{CollectError, Permit},
 };
 
 /// The path of the health check by which the load balancer decides whether to send callers here.
@@ -204,9 +205,10 @@
     let deadline = started_at + time_limit(&service.conf, &parts)?;
     let max_bytes = context.shared.settings.traffic.held_body_bytes.get();
     let body = if incoming.size_hint().upper().is_some_and(|size| size <= max_bytes) {
-        let body = Limited::new(incoming, max_bytes as usize).collect();
+        let permit = parts.extensions.get::<Permit>();
+        let body = read_body(incoming, max_bytes as usize, permit);
         let body = time::timeout(admitted::remaining(deadline), body).await;
-        RequestBody::Whole(body.ok().and_then(Result::ok).ok_or(Reason::BadBody)?.to_bytes())
+        RequestBody::Whole(body.map_err(|_| Reason::BadBody)??)
     } else {
         RequestBody::Upload(incoming)
     };
@@ -217,6 +219,20 @@
     Ok(AdmittedRequest { service, parts, shard, idempotent, deadline, body, fingerprint })
 }
 
+async fn read_body(
+    incoming: Incoming,
+    max_bytes: usize,
+    permit: Option<&Permit>,
+) -> Result<bytes::Bytes, Reason> {
+    if let Some(permit) = permit {
+        permit.set_phase(Phase::Receiving);
+    }
+    wire::collect(incoming, max_bytes, permit).await.map_err(|error| match error {
+        CollectError::NoRoom => Reason::Overloaded,
+        CollectError::TooLong(_) | CollectError::Broken(_) => Reason::BadBody,
+    })
+}
+
 fn request_shard(conf: &services::Service, parts: &Parts) -> Result<Option<Shard>, Reason> {
     let Some(keyed) = &conf.keyed else { return Ok(None) };
     let header = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/entry/src/traffic/server.rs
+++ b/crates/entry/src/traffic/server.rs
@@ -8,11 +8,13 @@
         server::graceful::GracefulShutdown,
     },
     log::warn,
+    quota::{Group, Phase},
     std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
     },
+    wire::{Metered, Permit},
 };
 
 /// The time in which a caller must send the headers of a request.
@@ -29,17 +31,31 @@
     let timeout = Duration::from_millis(context.shared.settings.traffic.stop_ms.get());
     let on_failure = |error| warn!("a caller's connection was not accepted: {error}");
     wire::accept_until(stop, listener, timeout, on_failure, |stream, graceful| {
-        spawn_connection(stream, &context, graceful);
+        if let Some(permit) = context.shared.limiter.admit(Group::Callers) {
+            spawn_connection(stream, &context, &permit, graceful);
+        }
     })
     .await
 }
 
-fn spawn_connection(stream: TcpStream, context: &Arc<Context>, graceful: &GracefulShutdown) {
+fn spawn_connection(
+    stream: TcpStream,
+    context: &Arc<Context>,
+    permit: &Permit,
+    graceful: &GracefulShutdown,
+) {
     let buffer_bytes = context.shared.settings.traffic.buffer_bytes.get() as usize;
     let context = Arc::clone(context);
-    let service = service_fn(move |request| {
+    let stream = Metered::new(stream, permit.clone(), buffer_bytes);
+    let of_request = permit.clone();
+    let service = service_fn(move |mut request| {
+        let permit = of_request.clone();
+        permit.begin(&mut request);
+        // A body that is not held is passed on while its request runs, and before one is read the
+        // request may have to wait.
+        permit.set_phase(Phase::Running);
         let response = handle::handle_request(Arc::clone(&context), request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move { Ok::<_, Infallible>(permit.respond(response.await)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -47,7 +63,8 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         watched.await.ok();
     });
+    permit.set_task(task.abort_handle());
 }
