--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,5 +21,6 @@
 mod snapshot;
 mod sync;
 mod traffic;
+mod usage;
 
 pub use crate::{error::Error, process::run};
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        freshness::Freshness, gather::Allowance, metrics::Counters, moves::Announced,
-        snapshot::Snapshot, sync::lock, traffic::reported::News,
+        freshness::Freshness, metrics::Counters, moves::Announced, snapshot::Snapshot, sync::lock,
+        traffic::reported::News,
     },
     arc_swap::ArcSwap,
     conf::PlatformSettings,
@@ -23,6 +23,7 @@
         time::{Duration, Instant},
     },
     tokio::sync::watch,
+    wire::Limiter,
 };
 
 /// The part of the time limit for leaving targets that is held back for latency: the delivery of
@@ -77,8 +78,8 @@
     pub(crate) counters: Counters,
     /// The client with which the traffic thread asks other entries for permits.
     pub(crate) permit_client: wire::Client,
-    /// The memory for bodies that are gathered.
-    pub(crate) gathering: Arc<Allowance>,
+    /// The limits of what is held for callers and targets.
+    pub(crate) limiter: Limiter,
     /// What answers show of the load of targets.
     pub(crate) news: News,
     feedback: Mutex<Feedback>,
@@ -97,6 +98,7 @@
         journal: Journal,
         permit_client: wire::Client,
     ) -> Arc<Self> {
+        let limiter = Limiter::new(settings.limits());
         Arc::new(Self {
             settings,
             snapshot: ArcSwap::default(),
@@ -108,7 +110,7 @@
             journal,
             counters: Counters::default(),
             permit_client,
-            gathering: Arc::default(),
+            limiter,
             news: News::default(),
             feedback: Mutex::default(),
             quarantine: Mutex::default(),
--- a/crates/edge/src/traffic/attempt.rs
+++ b/crates/edge/src/traffic/attempt.rs
@@ -120,15 +120,17 @@
         (false, true) => Reuse::Trusted,
         (false, false) => Reuse::Any,
     };
-    let connected = target.connect(reuse).await;
+    let connected = target.connect(reuse, &shared.limiter).await;
     if target.take_lost_connection() {
         record_lost(shared, target, way);
     }
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
-            record_reach(shared, target, way, false);
-            record_lost(shared, target, way);
+            if error != ConnectError::NoRoom {
+                record_reach(shared, target, way, false);
+                record_lost(shared, target, way);
+            }
             return AttemptResult::Unsent(error);
         }
     };
@@ -268,7 +270,7 @@
         Some(size) => (size as usize, size as usize),
         None => (0, MAX_BUFFERED_UNSIZED_BYTES),
     };
-    let Some(reservation) = shared.gathering.reserve(expected_bytes) else {
+    let Some(reservation) = shared.limiter.hold_response(expected_bytes) else {
         shared.counters.count("bodies", "no memory to gather");
         return answer(stream(Bytes::new(), incoming, connection));
     };
--- a/crates/edge/src/traffic/target.rs
+++ b/crates/edge/src/traffic/target.rs
@@ -11,6 +11,7 @@
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     key::{Service, Zone},
+    quota::{Group, Phase},
     socket2::SockRef,
     std::{
         net::{IpAddr, SocketAddr},
@@ -25,7 +26,7 @@
         task::{AbortHandle, JoinHandle},
         time,
     },
-    wire::Monitor,
+    wire::{Lease, Limiter, Monitor},
 };
 
 /// The time that opening a connection may take.
@@ -72,6 +73,9 @@
     /// The target may be cold, and the request has no permit that can still be used.
     #[error("the target may be cold and there is no permit")]
     Unpermitted,
+    /// This process has as many connections open as it may have.
+    #[error("there is no room for a connection")]
+    NoRoom,
     /// The target does not answer, or the request could not be sent because the connection
     /// closed or the deadline passed.
     #[error("the target cannot be reached")]
@@ -102,6 +106,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     monitor: Monitor,
+    lease: Lease,
 }
 
 impl Drop for Channel {
@@ -190,15 +195,21 @@
     pub(crate) async fn connect(
         self: &Arc<Self>,
         reuse: Reuse,
+        limiter: &Limiter,
     ) -> Result<Connection, ConnectError> {
         while let Some(channel) = self.check_out_idle(reuse) {
             // The driver may not have run yet since the connection ended.
-            if channel.sender.is_ready() && channel.monitor.is_quiet() {
+            if channel.sender.is_ready() && channel.monitor.is_quiet() && channel.lease.take() {
                 return Ok(Connection { target: Arc::clone(self), channel });
             }
             self.lost_connection.store(true, Ordering::Relaxed);
         }
-        let channel = self.open().await.inspect_err(|_| self.record_unreachable())?;
+        let opened = self.open(limiter).await;
+        let channel = opened.inspect_err(|error| {
+            if *error != ConnectError::NoRoom {
+                self.record_unreachable();
+            }
+        })?;
         self.condition.record_reached();
         Ok(Connection { target: Arc::clone(self), channel })
     }
@@ -224,8 +235,11 @@
         Some(newest.channel)
     }
 
-    /// Opens a connection.
-    async fn open(&self) -> Result<Channel, ConnectError> {
+    /// Opens a connection, if need be in place of the one that has been idle for longest.
+    async fn open(&self, limiter: &Limiter) -> Result<Channel, ConnectError> {
+        let permit = limiter.admit(Group::Targets).ok_or(ConnectError::NoRoom)?;
+        let lease = permit.lease();
+        permit.set_phase(Phase::Running);
         let connect = async {
             let socket = wire::socket(self.address, self.source)?;
             SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
@@ -248,28 +262,33 @@
                 std::io::ErrorKind::ConnectionRefused => ConnectError::Refused,
                 _ => ConnectError::Unreachable,
             })?;
+        let of_task = permit.clone();
         let driver = tokio::spawn(async move {
             // The next use of the sender shows that the connection has ended.
             connection.await.ok();
+            drop(of_task);
         });
-        Ok(Channel { sender, driver, monitor })
+        permit.set_task(driver.abort_handle());
+        Ok(Channel { sender, driver, monitor, lease })
     }
 
     /// Opens a connection to find out whether the target's process has ended, and returns true if
     /// the connection is refused. A process that is ending may still accept connections and close
     /// them, so one that is closed at once is followed by another, until [`PROBE_TIMEOUT`].
-    pub(crate) async fn probe_ended(&self) -> bool {
+    pub(crate) async fn probe_ended(&self, limiter: &Limiter) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT;
         while Instant::now() < deadline {
-            match self.open().await {
+            match self.open(limiter).await {
                 Ok(channel) => {
                     time::sleep(PROBE_SETTLE_TIME).await;
                     if !channel.sender.is_closed() {
+                        channel.lease.give_back();
                         lock(&self.idle)
                             .push(IdleConnection { channel, idle_since: Instant::now() });
                         return false;
                     }
                 }
+                Err(ConnectError::NoRoom) => return false,
                 Err(error) => {
                     self.record_unreachable();
                     return error == ConnectError::Refused;
@@ -366,6 +385,7 @@
     pub(crate) fn release(self) {
         let Self { target, channel } = self;
         if !channel.sender.is_closed() {
+            channel.lease.give_back();
             lock(&target.idle).push(IdleConnection { channel, idle_since: Instant::now() });
         }
     }
