End the mark of a target that answers a request that seemed to hang

A target whose response came late was marked as hanging until its back-off ended if the delay for the service had grown above the response time meanwhile. Whether the mark was set is now kept with the attempt. Not seen in a test of its own.

The test of hanging targets sent a fixed number of reads and failed in one of three runs since none of them went to that target. It now sends until one does; every read still has to be served.

--- a/crates/edge/src/traffic/attempts/hedging.rs
+++ b/crates/edge/src/traffic/attempts/hedging.rs
@@ -31,6 +31,8 @@
     target: Arc<Target>,
     result: AttemptResult,
     begun_at: Instant,
+    /// Whether its target was taken to let it hang.
+    seemed_to_hang: bool,
 }
 
 impl Attempts<'_> {
@@ -49,27 +51,34 @@
     async fn send_and_wait(&mut self, target: &Arc<Target>) -> Ended {
         let (shared, call) = (self.shared, &self.admitted.call);
         let begun_at = Instant::now();
-        let ended = |result| Ended { target: Arc::clone(target), result, begun_at };
+        let ended = |result, seemed_to_hang| {
+            let target = Arc::clone(target);
+            Ended { target, result, begun_at, seemed_to_hang }
+        };
         let is_repeated = self.is_tried(target);
         let mut first = pin!(attempt::send(shared, call, target, Way::Direct, is_repeated));
-        let Some(delay) = self.hedge_delay() else { return ended(first.await) };
+        let Some(delay) = self.hedge_delay() else { return ended(first.await, false) };
         if let Ok(result) = time::timeout(delay, first.as_mut()).await {
-            return ended(result);
+            return ended(result, false);
         }
         target.condition.record_hang();
         shared.counters.count("hedges", "without response");
-        let Some(other) = self.hedge_target(target).await else { return ended(first.await) };
+        let Some(other) = self.hedge_target(target).await else { return ended(first.await, true) };
         self.log_hedge(target, &other);
         let other_begun_at = Instant::now();
-        let ended_other =
-            |result| Ended { target: Arc::clone(&other), result, begun_at: other_begun_at };
+        let ended_other = |result| Ended {
+            target: Arc::clone(&other),
+            result,
+            begun_at: other_begun_at,
+            seemed_to_hang: false,
+        };
         let is_repeated = self.is_tried(&other);
         let second = pin!(attempt::send(shared, call, &other, Way::Direct, is_repeated));
         match future::select(first, second).await {
             Either::Left((result, _)) if is_response(&result) => {
                 shared.counters.count("hedges", "first won");
                 self.record_dropped(&other);
-                ended(result)
+                ended(result, true)
             }
             Either::Right((result, _)) if is_response(&result) => {
                 shared.counters.count("hedges", "second won");
@@ -81,10 +90,10 @@
             }
             Either::Left((result, second)) => {
                 let last = ended_other(second.await);
-                self.settle(ended(result), last).await
+                self.settle(ended(result, true), last).await
             }
             Either::Right((result, first)) => {
-                let last = ended(first.await);
+                let last = ended(first.await, true);
                 self.settle(ended_other(result), last).await
             }
         }
@@ -216,7 +225,7 @@
             return;
         }
         let elapsed = ended.begun_at.elapsed();
-        if self.hedge_delay().is_some_and(|delay| elapsed >= delay) {
+        if ended.seemed_to_hang {
             ended.target.condition.record_late_answer();
         }
         self.shared.news.record_time(&self.admitted.service, elapsed);
--- a/crates/trial/tests/hanging.rs
+++ b/crates/trial/tests/hanging.rs
@@ -52,7 +52,6 @@
 /// callers gave up, and other targets were free. An order may have run, and is sent to no other.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_a_target_never_answers_is_answered_by_another_if_it_may_be_repeated() {
-    const BATCHES: usize = 4;
     let plan = SitePlan { entries: 1, keyed_targets: 1, unkeyed_targets: 3, ..SitePlan::default() };
     let site = Site::start(plan).await;
     site.write_patient_routing(2, &ROUTES, "4s");
@@ -65,17 +64,16 @@
     let hanging = holder::Fault { lose_answers: true, ..holder::Fault::default() };
     site.set_target_fault(HANGING_TARGET, hanging).await;
 
-    let mut reads = Vec::new();
-    for _ in 0..BATCHES {
-        reads.extend(send_batch(&site, &read()).await);
-    }
-    for response in &reads {
-        assert!(response.is_served(), "{response:?}");
-    }
-    let lines = site.journal_lines();
-    let counts = begun(&lines);
-    let repeated = reads.iter().filter(|read| counts.get(read.id.as_str()) == Some(&2)).count();
-    assert!(repeated > 0, "no read reached the target that never answers");
+    eventually("a read reaches the target that never answers", || async {
+        let reads = send_batch(&site, &read()).await;
+        for response in &reads {
+            assert!(response.is_served(), "{response:?}");
+        }
+        let lines = site.journal_lines();
+        let counts = begun(&lines);
+        reads.iter().any(|read| counts.get(read.id.as_str()) == Some(&2)).then_some(())
+    })
+    .await;
 
     let order = SiteRequest { deadline_ms: 1_000, ..SiteRequest::order() };
     // The target is passed over for a while after each request that it lets hang.
