Let followers learn the operators' table and the entries from their reader

Each also read the table of maps when it started.

The question of a follower now names the versions of both tables that it knows, and the answer of its reader carries the rows that were read since (raw, with the age of the store's word) and the version of the routing configuration, which the follower fetches from that reader at once. Any news ends the wait of a held question. A follower polls a table at the store only while no answer of a reader has told of it for two fifths of routing_apply, and reads the operators' table in full if it was told of a routing configuration that it could not fetch. Fields are optional: readers of the version before tell nothing, and their followers poll as before. An entry that can follow others gets its first maps with the reply to a report that it sends at once.

Answers about the operators' table that newer ones overtook are dropped, since two sources now bring them. Decisions are in member::Coverage and member::RowLog, in virtual time (tests/tables.rs).

Tested: member::tables; trial calls (two tests), of which changes_cost_calls_of_the_readers_only was seen failing with the program before: 63 calls for the operators' table at three changes with 21 entries, where at most 28 are allowed now. The other one guards the bound when readers are lost and passed before as well. readers (5 tests) and large_routing (6 tests) pass.

--- a/crates/edge/src/control/feeds.rs
+++ b/crates/edge/src/control/feeds.rs
@@ -5,18 +5,21 @@
 //! with more entries, so that a burst of changes reaches the entries in a few answers and a large
 //! fleet does not overload the store.
 
+mod tables;
 mod targets;
 
-pub(crate) use targets::{Following, STORE_SOURCE, follow_targets};
+pub(crate) use {
+    tables::{TableFeed, Tables},
+    targets::{Following, STORE_SOURCE, follow_targets},
+};
 
 use {
     crate::{control::input::Input, shared::Shared},
-    hold::staleness::{PollTiming, Staleness},
-    key::{Version, clock::Tick},
+    key::clock::Tick,
     member::Backoff,
-    platform::store::{Error, Rows, Store, Table},
+    platform::store::{Error, Table},
     serde::Serialize,
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     tokio::{
         sync::{mpsc::Sender, watch},
         time,
@@ -27,14 +30,6 @@
 /// proportion.
 const ENTRIES_AT_MIN_PAUSE: u32 = 20;
 
-/// The shortest pause after a change of the table of entries: when a fleet starts, every entry
-/// writes its row. The pause does not delay a change of the leader, which the new leader announces
-/// itself.
-const MIN_ENTRIES_PAUSE: Duration = Duration::from_millis(200);
-
-/// The longest pause after a change of the table of entries.
-const MAX_ENTRIES_PAUSE: Duration = Duration::from_millis(2_000);
-
 /// The number of outages of the store that have ended, returns from a copy included. A long poll
 /// that was in flight during an outage may never be answered, so each change of this number makes
 /// the feeds poll again.
@@ -45,25 +40,6 @@
     time::sleep(backoff.next_delay(rand::random())).await;
 }
 
-/// Waits for changes of a table, and polls again after an outage.
-async fn next_rows(
-    store: &Store,
-    table: Table,
-    version: Version,
-    outages: &mut OutageCount,
-) -> Result<Rows, Error> {
-    loop {
-        tokio::select! {
-            rows = store.watch(table, version) => return rows,
-            changed = outages.changed() => {
-                if changed.is_err() {
-                    return Err(Error::Unavailable);
-                }
-            }
-        }
-    }
-}
-
 /// Logs that a table could not be read or polled, `sent_at` after the call was made.
 fn log_failure(shared: &Shared, table: Table, sent_at: Tick, error: Error) {
     #[derive(Serialize)]
@@ -78,99 +54,6 @@
     shared.journal.log("read_failed", &line);
 }
 
-/// Follows the operators' table; never returns.
-pub(crate) async fn follow_operator(
-    store: Store,
-    inputs: Sender<Input>,
-    mut outages: OutageCount,
-    shared: Arc<Shared>,
-) {
-    let mut backoff = Backoff::default();
-    let mut staleness = Staleness::default();
-    loop {
-        let sent_at = Tick::now();
-        let rows = match store.read(Table::Operator).await {
-            Ok(rows) => rows,
-            Err(error) => {
-                log_failure(&shared, Table::Operator, sent_at, error);
-                wait_to_retry(&mut backoff).await;
-                continue;
-            }
-        };
-        let mut version = rows.version;
-        staleness.record(PollTiming { sent_at, received_at: Tick::now(), store_clock: rows.clock });
-        send(&inputs, Input::OperatorRows { rows, at: sent_at }).await;
-        loop {
-            let sent_at = Tick::now();
-            match next_rows(&store, Table::Operator, version, &mut outages).await {
-                Ok(rows) => {
-                    backoff.reset();
-                    version = rows.version;
-                    // The store answers a long poll when something changes or the wait is over, and the
-                    // answer may take long to arrive.
-                    let received_at = Tick::now();
-                    let timing = PollTiming { sent_at, received_at, store_clock: rows.clock };
-                    let given_at = received_at.before(staleness.record(timing).of_answer);
-                    let at = if rows.rows.is_empty() { sent_at } else { given_at };
-                    send(&inputs, Input::OperatorRows { rows, at }).await;
-                }
-                Err(Error::Compacted) => break,
-                Err(error @ Error::Unavailable) => {
-                    log_failure(&shared, Table::Operator, sent_at, error);
-                    wait_to_retry(&mut backoff).await;
-                }
-            }
-        }
-    }
-}
-
-/// Follows the table of entries; never returns.
-pub(crate) async fn follow_entries(
-    store: Store,
-    inputs: Sender<Input>,
-    mut outages: OutageCount,
-    shared: Arc<Shared>,
-) {
-    let mut backoff = Backoff::default();
-    loop {
-        let sent_at = Tick::now();
-        let rows = match store.read(Table::Entries).await {
-            Ok(rows) => rows,
-            Err(error) => {
-                log_failure(&shared, Table::Entries, sent_at, error);
-                wait_to_retry(&mut backoff).await;
-                continue;
-            }
-        };
-        let mut version = rows.version;
-        send(&inputs, Input::EntryRows { rows, complete: true }).await;
-        loop {
-            let sent_at = Tick::now();
-            match next_rows(&store, Table::Entries, version, &mut outages).await {
-                Ok(rows) => {
-                    backoff.reset();
-                    version = rows.version;
-                    let changed = !rows.rows.is_empty();
-                    send(&inputs, Input::EntryRows { rows, complete: false }).await;
-                    if changed {
-                        time::sleep(pause_after_change(
-                            &shared,
-                            MIN_ENTRIES_PAUSE,
-                            MAX_ENTRIES_PAUSE,
-                        ))
-                        .await;
-                    }
-                }
-                Err(Error::Compacted) => break,
-                Err(error @ Error::Unavailable) => {
-                    log_failure(&shared, Table::Entries, sent_at, error);
-                    wait_to_retry(&mut backoff).await;
-                }
-            }
-        }
-    }
-}
-
 /// Returns the pause after a change, which grows with the number of entries that poll the store.
 fn pause_after_change(shared: &Shared, min: Duration, max: Duration) -> Duration {
     let entries = shared.snapshot.load().entries as u32;
--- a/crates/edge/src/control/feeds/targets.rs
+++ b/crates/edge/src/control/feeds/targets.rs
@@ -6,11 +6,11 @@
 //! what has changed.
 
 use {
-    super::{log_failure, pause_after_change, send, wait_to_retry},
+    super::{Tables, log_failure, pause_after_change, send, wait_to_retry},
     crate::{
         control::{
             input::Input,
-            message::{RegistryQuery, RegistryUpdate},
+            message::{RegistryQuery, RegistryUpdate, TablesUpdate},
             peers::Peers,
         },
         shared::Shared,
@@ -59,9 +59,10 @@
     inputs: Sender<Input>,
     outage_count: watch::Sender<u64>,
     mut following: watch::Receiver<Following>,
+    tables: Arc<Tables>,
     shared: Arc<Shared>,
 ) {
-    let mut feed = TargetFeed::new(store, inputs, outage_count, shared);
+    let mut feed = TargetFeed::new(store, inputs, outage_count, tables, shared);
     let mut search = Search::new(feed.peers.clone());
     let mut full_reads = 0;
     loop {
@@ -94,6 +95,7 @@
             }
             (Source::Store, _) => {
                 feed.log_source(&source);
+                feed.tables.end_coverage();
                 feed.poll_store(search.find()).await;
             }
         }
@@ -190,6 +192,8 @@
     inputs: Sender<Input>,
     shared: Arc<Shared>,
     outage_count: watch::Sender<u64>,
+    /// What the entry that this one follows tells of other tables.
+    tables: Arc<Tables>,
     /// The version of the store up to which the registry is known; zero if it must be read in full.
     version: Version,
     staleness: Staleness,
@@ -208,6 +212,7 @@
         store: Store,
         inputs: Sender<Input>,
         outage_count: watch::Sender<u64>,
+        tables: Arc<Tables>,
         shared: Arc<Shared>,
     ) -> Self {
         let pace = shared.pace();
@@ -221,6 +226,7 @@
             inputs,
             shared,
             outage_count,
+            tables,
             version: Version::ZERO,
             staleness: Staleness::default(),
             given_at: None,
@@ -259,7 +265,8 @@
     ) -> impl Future<Output = Option<EntryAnswer>> + use<> {
         let (peers, address) = (self.peers.clone(), reader.address);
         let wait_ms = Some(question.wait.as_millis() as u64);
-        let query = RegistryQuery { after: self.version, wait_ms };
+        let query =
+            RegistryQuery { after: self.version, wait_ms, tables: Some(self.tables.query()) };
         async move {
             let sent_at = Tick::now();
             let poll = peers.poll_registry(address, &query);
@@ -304,7 +311,10 @@
         }
         self.record_answer(reader.vm.as_str(), sent_at, given_at);
         let reader = reader.vm.clone();
+        let tables = update.tables.as_ref().map(TablesUpdate::summary);
         send(&self.inputs, Input::RegistryUpdate { reader, update, answered_at }).await;
+        // The next query and the next poll of the store name what the input above brings.
+        self.tables.record_answer(tables.unwrap_or_default(), Tick::now());
         true
     }
 
--- a/crates/edge/src/control/input.rs
+++ b/crates/edge/src/control/input.rs
@@ -14,7 +14,7 @@
     key::{Era, Service, Version, Vm, clock::Tick},
     platform::{
         order::Connection,
-        store::{Commit, Rows},
+        store::{Commit, Rows, Table},
     },
     route::quarantine::Suspect,
     smol_str::SmolStr,
@@ -27,9 +27,9 @@
 pub(crate) enum Input {
     /// Time has passed; periodic work may be due.
     Tick,
-    /// The store has answered which rows of the operators' table have changed; they are the newest
-    /// ones as of the time `at`.
-    OperatorRows { rows: Rows, at: Tick },
+    /// The store has answered which rows of the operators' table have changed, or the table was read
+    /// in full; they are the newest ones as of the time `at`.
+    OperatorRows { rows: Rows, complete: bool, at: Tick },
     /// Another entry has answered with a newer routing configuration, or has none.
     RoutingFetched { routing: Option<Routing> },
     /// Rows of the registry have changed, at `changed_at` at the earliest, or the registry was read
@@ -44,6 +44,8 @@
     TargetsUnavailable,
     /// Rows of the table of entries have changed, or it was read in full.
     EntryRows { rows: Rows, complete: bool },
+    /// A table that other entries may learn of through this one could not be polled.
+    TableUnavailable { table: Table },
     /// The table of maps was read in full. The leader reads the table of entries before it;
     /// `entries` holds those rows and the time at which that read was sent.
     MapRows { rows: Rows, entries: Option<(Rows, Tick)> },
--- a/crates/edge/src/control/message.rs
+++ b/crates/edge/src/control/message.rs
@@ -4,6 +4,10 @@
 //! are newer, and says which version of the routing configuration the leader has. No message grows
 //! with the routing configuration. Fields that an earlier release does not send have defaults.
 
+mod tables;
+
+pub(crate) use tables::{RelayedRow, TableUpdate, TablesQuery, TablesSummary, TablesUpdate};
+
 use {
     crate::control::records::LeadershipRecord,
     hold::{Instance, Map, Registration, map::Delta},
@@ -171,6 +175,9 @@
     /// How long the answer may wait for news; earlier releases do not tell.
     #[serde(default)]
     pub(crate) wait_ms: Option<u64>,
+    /// What the entry knows of other tables; earlier releases do not ask for them.
+    #[serde(default)]
+    pub(crate) tables: Option<TablesQuery>,
 }
 
 /// A registration that has disappeared.
@@ -201,6 +208,9 @@
     pub(crate) outages: u64,
     /// The time since the last of them ended. Earlier releases take that for their own outage.
     pub(crate) available_ms: Option<u64>,
+    /// What has changed in other tables, if the question named them; earlier releases do not tell.
+    #[serde(default)]
+    pub(crate) tables: Option<TablesUpdate>,
 }
 
 /// The announcement of a new leader.
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -16,7 +16,7 @@
     crate::{Error, shared::Shared},
     input::Input,
     key::{Process, clock::Tick},
-    platform::Store,
+    platform::{Store, store::Table},
     state::{State, relaying::Relay},
     std::{net::TcpListener, sync::Arc, time::Duration},
     tokio::{
@@ -65,18 +65,13 @@
     let (outage_count, outages) = watch::channel(0);
     let feed = (store.clone(), sender.clone());
     let registry_store = store.with_poll_duration(REGISTRY_POLL_DURATION);
-    tokio::task::spawn_local(feeds::follow_operator(
-        feed.0.clone(),
-        feed.1.clone(),
-        outages.clone(),
-        Arc::clone(&context.shared),
-    ));
-    tokio::task::spawn_local(feeds::follow_entries(
-        feed.0,
-        feed.1.clone(),
-        outages,
-        Arc::clone(&context.shared),
-    ));
+    let tables = feeds::Tables::new(&context.shared);
+    for table in [Table::Operator, Table::Entries] {
+        let (store, inputs) = feed.clone();
+        let shared = Arc::clone(&context.shared);
+        let feed = feeds::TableFeed::new(table, store, inputs, Arc::clone(&tables), shared);
+        tokio::task::spawn_local(feed.follow(outages.clone()));
+    }
     let (following_sender, following) = watch::channel(feeds::Following::default());
     let relay = Relay::new(following_sender, outage_count.subscribe());
     tokio::task::spawn_local(feeds::follow_targets(
@@ -84,6 +79,7 @@
         feed.1,
         outage_count,
         following,
+        tables,
         Arc::clone(&context.shared),
     ));
     let mut state = State::new(context.me, context.shared, store, sender, relay);
--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -19,6 +19,7 @@
 mod routes;
 mod rows;
 mod suspects;
+mod tables;
 
 use {
     crate::{
@@ -52,6 +53,7 @@
         time::Duration,
     },
     suspects::StoredSuspects,
+    tables::RelayedTables,
     tokio::sync::mpsc::Sender,
 };
 
@@ -98,6 +100,8 @@
     registry: Registry,
     /// What this entry passes on of the registry.
     relay: Relay,
+    /// What this entry passes on of other tables.
+    tables: RelayedTables,
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
@@ -181,6 +185,7 @@
             routing_checked_at: Tick::default(),
             registry: Registry::default(),
             relay,
+            tables: RelayedTables::default(),
             registry_grew_at: None,
             maps: BTreeMap::new(),
             members: Roster::default(),
@@ -246,8 +251,14 @@
         self.observe_era(now);
         match input {
             Input::Tick => self.handle_tick(now),
-            Input::OperatorRows { rows, at } => self.apply_operator_rows(&rows, at),
-            Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
+            Input::OperatorRows { rows, complete, at } => {
+                self.handle_operator_rows(&rows, complete, at);
+                self.answer_registry_queries(now);
+            }
+            Input::RoutingFetched { routing } => {
+                self.handle_fetched_routing(routing, now);
+                self.answer_registry_queries(now);
+            }
             Input::TargetRows { rows, complete, changed_at, given_at } => {
                 self.registry.record_answer(given_at);
                 self.registry.record_era(rows.version.era(), now);
@@ -268,7 +279,11 @@
                 self.relay.record_outage();
                 self.answer_registry_queries(now);
             }
-            Input::EntryRows { rows, complete } => self.apply_entry_rows(&rows, complete, now),
+            Input::EntryRows { rows, complete } => {
+                self.handle_entry_rows(&rows, complete, now);
+                self.answer_registry_queries(now);
+            }
+            Input::TableUnavailable { table } => self.tables.record_failure(table),
             Input::MapRows { rows, entries } => self.apply_map_rows(&rows, entries, now),
             Input::MapRowsUnavailable => self.map_read_in_flight = false,
             Input::MemberWritten => self.joining = false,
--- a/crates/edge/src/control/state/following.rs
+++ b/crates/edge/src/control/state/following.rs
@@ -40,6 +40,14 @@
 /// unresponsive.
 const MAP_POLL_INTERVAL: Duration = Duration::from_millis(800);
 
+/// The time that the first read of the table of entries has, before the maps are read without knowing
+/// the leader.
+const FIRST_READ_TIME: Duration = Duration::from_millis(300);
+
+/// The time that a fleet has to get its first leader, before an entry reads the maps from the store.
+/// Without a leader nobody has written any.
+const FIRST_LEADER_TIME: Duration = Duration::from_millis(1_600);
+
 /// The time for which an entry with the least power waits before it campaigns for the first leader
 /// of a fleet; more power shortens the wait.
 const MAX_INITIAL_CAMPAIGN_DELAY: Duration = Duration::from_millis(800);
@@ -73,7 +81,8 @@
     pub(super) fn run_follower(&mut self, now: Tick) {
         let leader_unavailable =
             self.election.is_leader_unresponsive(now) || self.leadership_record.is_none();
-        if leader_unavailable && now.since(self.maps_polled_at) >= MAP_POLL_INTERVAL {
+        let is_due = now.since(self.maps_polled_at) >= MAP_POLL_INTERVAL;
+        if leader_unavailable && is_due && !self.awaits_first_leader(now) {
             self.poll_maps(now);
         }
         if !self.entries_read
@@ -105,6 +114,23 @@
         }
     }
 
+    /// Returns true if no leader is known and one may be shortly: this process has just started.
+    fn awaits_first_leader(&self, now: Tick) -> bool {
+        let limit = if self.entries_read { FIRST_LEADER_TIME } else { FIRST_READ_TIME };
+        self.leadership_record.is_none() && self.election.unresponsive_for(now) < limit
+    }
+
+    /// Gets the maps after the table of entries has been read for the first time. In a large fleet
+    /// they come from the leader, with the reply to a report that is sent at once, so that the start
+    /// of a fleet costs no read for each entry. Without a leader there are none.
+    pub(super) fn get_first_maps(&mut self, now: Tick) {
+        if self.relay.follows_others() {
+            self.reported_at = Tick::default();
+        } else if self.leadership_record.is_some() {
+            self.poll_maps(now);
+        }
+    }
+
     /// Reads the maps from the store; otherwise they come from the leader.
     fn poll_maps(&mut self, now: Tick) {
         self.maps_polled_at = now;
--- a/crates/edge/src/control/state/relaying.rs
+++ b/crates/edge/src/control/state/relaying.rs
@@ -85,6 +85,11 @@
         self.is_direct && self.confirmed_at.is_some()
     }
 
+    /// Returns true if there are entries that this one can follow.
+    pub(super) fn follows_others(&self) -> bool {
+        !self.following.borrow().readers.is_empty()
+    }
+
     /// Records that the store does not answer.
     pub(super) const fn record_outage(&mut self) {
         self.confirmed_at = None;
@@ -123,12 +128,14 @@
     }
 
     fn answer_or_keep(&mut self, waiter: Waiter, now: Tick) {
-        let has_news = self.relay.confirmed_at.is_none() || self.has_news(waiter.query.after);
+        let has_news = self.relay.confirmed_at.is_none()
+            || self.has_news(waiter.query.after)
+            || self.has_table_news(&waiter.query);
         if !has_news && now.since(waiter.since) < waiter.wait {
             self.relay.waiters.push(waiter);
             return;
         }
-        let update = self.registry_update(waiter.query.after, waiter.since, now);
+        let update = self.registry_update(&waiter.query, waiter.since, now);
         // An entry whose call timed out asks again.
         if waiter.reply_to.send(update).is_err() {
             self.shared.counters.count("replies", "too late");
@@ -141,8 +148,9 @@
             && self.relay.changes.has_changed_since(version).unwrap_or(true)
     }
 
-    /// Returns what is known of the registry and is newer than `after`.
-    fn registry_update(&self, after: Version, since: Tick, now: Tick) -> RegistryUpdate {
+    /// Returns what is known of the registry and of other tables that a query does not know.
+    fn registry_update(&self, query: &RegistryQuery, since: Tick, now: Tick) -> RegistryUpdate {
+        let after = query.after;
         let is_behind = self.relay.version < after;
         let changes = self.relay.changes.since(after);
         let complete = !is_behind && changes.is_none();
@@ -177,6 +185,7 @@
                 .collect(),
             outages: *self.relay.outages.borrow(),
             available_ms: self.registry.available_for(now).map(millis),
+            tables: query.tables.as_ref().map(|tables| self.tables_update(tables, now)),
         }
     }
 
@@ -184,10 +193,13 @@
     pub(super) fn apply_registry_update(
         &mut self,
         reader: &Vm,
-        update: RegistryUpdate,
+        mut update: RegistryUpdate,
         answered_at: Tick,
         now: Tick,
     ) {
+        if let Some(tables) = update.tables.take() {
+            self.apply_tables_update(reader, tables, answered_at, now);
+        }
         let RegistryUpdate { version, age_ms: Some(age_ms), complete, .. } = update else { return };
         let before = |ms: u64| answered_at.before(Duration::from_millis(ms));
         self.registry.record_answer(before(age_ms));
--- a/crates/edge/src/control/state/routes.rs
+++ b/crates/edge/src/control/state/routes.rs
@@ -91,8 +91,9 @@
     pub(super) fn fetch_routing(&mut self, now: Tick) {
         self.routing.expire(now);
         self.publish_routing_state();
-        let store_available = !self.is_store_unavailable(now);
-        let Some((newer, attempt)) = self.routing.start_fetch(store_available, now) else { return };
+        // No poll of the store brings the version while another entry tells of it.
+        let polls_store = !self.is_store_unavailable(now) && !self.is_told_of_routing(now);
+        let Some((newer, attempt)) = self.routing.start_fetch(polls_store, now) else { return };
         let from = self.routing_source(newer, attempt);
         let known = self.routing_version();
         let (peers, inputs) = (self.peers.clone(), self.inputs.clone());
@@ -104,7 +105,12 @@
 
     /// Returns the entry to fetch from: one of the most powerful entries and the one that is known
     /// to have the version take turns, since many entries may be behind at once.
+    ///
+    /// A follower gets it from the entry that told it, which certainly has it.
     fn routing_source(&self, newer: Newer, attempt: usize) -> SocketAddr {
+        if self.tables.routing_told_by(newer.holder) {
+            return newer.holder;
+        }
         let others = self.members.iter().filter(|(vm, _)| **vm != self.me.vm);
         let strongest = others.clone().map(|(_, member)| member.power).fold(0.0, f64::max);
         let strong: Vec<SocketAddr> = others
@@ -146,7 +152,8 @@
         tokio::task::spawn_local(async move {
             // The feed reports an unavailable store, and reads everything after a lost history.
             if let Ok(rows) = store.changes(Table::Operator, after).await {
-                send(&inputs, Input::OperatorRows { rows, at: now }).await;
+                let input = Input::OperatorRows { rows, complete: false, at: now };
+                send(&inputs, input).await;
             }
         });
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -12,7 +12,9 @@
 - [`Sources`] is what an entry polls next: a reader that answers, or else the store.
 - [`Pace`] is how often that is done, and until when, so that news is known everywhere in time.
 - [`Backoff`] is how long an entry waits before it repeats a call that failed.
-- [`ChangeLog`] is what a reader remembers of changes, so that it passes on only those that are new.
+- [`ChangeLog`] is what a reader remembers of changes, so that it passes on only those that are new,
+  and [`RowLog`] what it remembers of the rows of other tables.
+- [`Coverage`] says when an entry polls such a table itself.
 
 Weighed against it: gossip among all entries, whose delay grows with the fleet and has no bound; and
 the leader as the only reader, which its loss or a cut zone would leave without news. A zone that is
@@ -24,18 +26,22 @@
 
 mod backoff;
 mod change;
+mod coverage;
 mod pace;
 mod presence;
 mod reader;
 mod roster;
+mod row_log;
 mod source;
 
 pub use crate::{
     backoff::Backoff,
     change::ChangeLog,
+    coverage::{Coverage, Step},
     pace::{Pace, Question},
     presence::Presence,
     reader::{Member, Reader, readers},
     roster::Roster,
+    row_log::{News, RowLog},
     source::{Source, Sources},
 };
--- a/crates/standin/src/rows.rs
+++ b/crates/standin/src/rows.rs
@@ -88,8 +88,23 @@
     state: Mutex<State>,
     /// Wakes waiting feeds; its value only counts the wake-ups.
     change_count: watch::Sender<u64>,
+    calls: Mutex<BTreeMap<Call, u64>>,
 }
 
+/// The kind of a call that the store counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallKind {
+    /// A read of a page of a table.
+    Read,
+    /// A long poll of a table.
+    Poll,
+    /// A poll of a table that waits for nothing.
+    Check,
+}
+
+/// A kind of call and the table that it is for.
+type Call = (CallKind, String);
+
 /// A row's table, part and key as requests give them.
 #[derive(Deserialize)]
 struct RowName {
@@ -187,7 +202,11 @@
     #[must_use]
     pub fn new() -> Arc<Self> {
         let state = State { era: 1, ..State::default() };
-        Arc::new(Self { state: Mutex::new(state), change_count: watch::Sender::new(0) })
+        Arc::new(Self {
+            state: Mutex::new(state),
+            change_count: watch::Sender::new(0),
+            calls: Mutex::default(),
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -215,6 +234,28 @@
         self.change_count.send_modify(|count| *count += 1);
     }
 
+    /// Removes a row without conditions, as the operator or another entry does.
+    pub fn remove_row(&self, table: &str, key: &str) {
+        let mut state = self.state();
+        state.version += 1;
+        state.record_change((table.to_owned(), String::new(), key.to_owned()), None);
+        drop(state);
+        self.change_count.send_modify(|count| *count += 1);
+    }
+
+    /// Returns how many calls of a kind have been made for a table.
+    #[must_use]
+    pub fn call_count(&self, kind: CallKind, table: &str) -> u64 {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.get(&(kind, table.to_owned())).copied().unwrap_or_default()
+    }
+
+    fn count_call(&self, kind: CallKind, query: &HashMap<String, String>) {
+        let table = query.get("table").cloned().unwrap_or_default();
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        *calls.entry((kind, table)).or_default() += 1;
+    }
+
     /// Returns the value of a row.
     #[must_use]
     pub fn read_row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
@@ -297,8 +338,15 @@
             (&Method::POST, "/almondworks/rows-tx") => {
                 self.handle_transaction(request, fault).await
             }
-            (&Method::GET, "/almondworks/rows-get") => self.handle_get(&query),
-            (&Method::GET, "/almondworks/rows-feed") => self.handle_feed(&query).await,
+            (&Method::GET, "/almondworks/rows-get") => {
+                self.count_call(CallKind::Read, &query);
+                self.handle_get(&query)
+            }
+            (&Method::GET, "/almondworks/rows-feed") => {
+                let waits = query.get("waitMs").is_some_and(|wait| wait != "0");
+                self.count_call(if waits { CallKind::Poll } else { CallKind::Check }, &query);
+                self.handle_feed(&query).await
+            }
             _ => wire::status(StatusCode::NOT_FOUND),
         }
     }
