Test that followers learn what changes after the store came back from a copy

No test covered a fleet with readers whose store goes back to a copy: the other tests of that have three entries, all of which read the store.

--- a/crates/trial/tests/calls.rs
+++ b/crates/trial/tests/calls.rs
@@ -112,3 +112,26 @@
     let took = wait_for_routing(&site, &followers, 3).await;
     assert!(took < ROUTING_APPLY, "the next change was in force after {took:?}");
 }
+
+/// Guards against followers that take what their reader knew before the store came back from a copy
+/// for newer than what it says afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn followers_learn_what_changes_after_the_store_came_back_from_a_copy() {
+    let site = Site::start(plan()).await;
+    time::sleep(SETTLING_TIME).await;
+    let all: Vec<usize> = (0..ENTRIES).collect();
+    let copy = site.store.copy();
+    site.write_routing(2, &ROUTES_WITH_LATER);
+    wait_for_routing(&site, &all, 2).await;
+    site.store.restore(&copy);
+    time::sleep(Duration::from_secs(2)).await;
+    site.write_routing(3, &INITIAL_ROUTES);
+    let took = wait_for_routing(&site, &all, 3).await;
+    assert!(took < ROUTING_APPLY, "the change was in force after {took:?}");
+    let key = format!("member/e{}", ENTRIES - 1);
+    site.store.remove_row(ENTRIES_TABLE, &key);
+    eventually("an entry whose row was removed writes it again", || async {
+        site.store.read_row(ENTRIES_TABLE, &key).map(drop)
+    })
+    .await;
+}
