Begin moves for balance together in large fleets

While load was uneven, a move of keys began whenever another one had ended, and as released keys have no holder, each result was followed by a write of the map at once: up to 13 a second on deployment A. Holding such a write back would leave keys without a holder. So the beginning of moves is paced instead: in a fleet in which entries follow others, moves for balance begin at most once in 150 ms, and the releases that are answered quickly share a write. Moves from targets that leave, and keys of lost targets, do not wait. Small fleets are as before.

Tested: hold planner (30 tests); pacing::moves_for_balance_begin_together was seen failing with the pace switched off ("moves began at [3210, 3220]"), the test on leaving targets is a guard that passes in both cases. trial calls (3 tests) pass with this. The writes saved on deployment A are not measured.

--- a/crates/edge/src/control/state/leading.rs
+++ b/crates/edge/src/control/state/leading.rs
@@ -56,6 +56,10 @@
 /// the targets of a starting fleet register before the first map is planned.
 const INITIAL_ASSIGNMENT_DELAY: Duration = Duration::from_millis(1_200);
 
+/// The time between two beginnings of moves of keys for balance in a large fleet. With the ticks of the
+/// control thread, the map of a service is then written some five times a second while keys move.
+const MOVE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// The time between two journal lines that summarize each planner.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -280,8 +284,12 @@
         }
         self.add_planners();
         let format = self.map_format(now);
+        let move_interval = self.move_interval();
         let Some(leadership) = &mut self.leadership else { return };
-        leadership.planners.values_mut().for_each(|planner| planner.set_format(format));
+        leadership.planners.values_mut().for_each(|planner| {
+            planner.set_format(format);
+            planner.set_move_interval(move_interval);
+        });
         for instance in leadership.connections.remove_closed(|connection| !connection.is_closed()) {
             leadership
                 .planners
@@ -310,6 +318,12 @@
         self.begin_grants(now);
     }
 
+    /// Returns the time between two beginnings of moves for balance, which is zero in a small fleet.
+    fn move_interval(&self) -> Duration {
+        let zones = self.members.iter().map(|(_, member)| &member.zone);
+        if member::has_followers(zones) { MOVE_INTERVAL } else { Duration::ZERO }
+    }
+
     /// Returns the newest form of stored maps that every entry can read, but those that are gone.
     fn map_format(&self, now: Tick) -> Format {
         let counts = |vm: &Vm| self.presence(vm, now) < Presence::Gone;
--- a/crates/hold/src/planner.rs
+++ b/crates/hold/src/planner.rs
@@ -13,6 +13,7 @@
 //!    acknowledged the new fence, the former leader may still renew there, so the ledger assumes
 //!    the latest grant that the former leader could have sent.
 
+mod pacing;
 mod place;
 mod reassignment;
 mod recipient;
@@ -23,7 +24,7 @@
 pub use self::summary::Summary;
 
 use {
-    self::session::TargetSession,
+    self::{pacing::MovePace, session::TargetSession},
     crate::{
         balance::Load,
         ledger::Ledger,
@@ -201,6 +202,7 @@
     fences_renewed: bool,
     load: Load,
     load_decayed_at: Tick,
+    move_pace: MovePace,
 }
 
 impl Planner {
@@ -235,6 +237,7 @@
             needs_row: false,
             load: Load::default(),
             load_decayed_at: elected_at,
+            move_pace: MovePace::default(),
         }
     }
 
@@ -269,6 +272,11 @@
         self.format
     }
 
+    /// Sets the time between two beginnings of moves for balance.
+    pub const fn set_move_interval(&mut self, interval: Duration) {
+        self.move_pace.set_interval(interval);
+    }
+
     /// Returns the load of the service, so that the caller can record what entries report.
     pub const fn load_mut(&mut self) -> &mut Load {
         &mut self.load
--- a/crates/hold/src/planner/reassignment.rs
+++ b/crates/hold/src/planner/reassignment.rs
@@ -25,8 +25,11 @@
     /// Starts the reassignments that are due and returns their releases.
     pub(super) fn begin_releases(&mut self, registry: &Registry, now: Tick) -> Vec<Action> {
         let mut due = self.plan_departures(registry, now);
-        if due.is_empty() {
+        if due.is_empty() && self.move_pace.is_due(now) {
             due = self.rebalance(registry, now);
+            if !due.is_empty() {
+                self.move_pace.record(now);
+            }
         }
         let mut actions = Vec::new();
         for reassignment in due {
--- a/crates/hold/tests/planner/main.rs
+++ b/crates/hold/tests/planner/main.rs
@@ -3,6 +3,7 @@
 mod fixture;
 mod grants;
 mod losses;
+mod pacing;
 mod releases;
 mod rows;
 mod scale;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -40,7 +40,7 @@
     coverage::{Coverage, Step},
     pace::{Pace, Question},
     presence::Presence,
-    reader::{Member, Reader, readers},
+    reader::{Member, Reader, has_followers, readers},
     roster::Roster,
     row_log::{News, RowLog},
     source::{Source, Sources},
--- a/crates/member/src/reader.rs
+++ b/crates/member/src/reader.rs
@@ -2,7 +2,7 @@
 
 use {
     key::{Vm, Zone},
-    std::{cmp::Ordering, net::SocketAddr},
+    std::{cmp::Ordering, collections::HashMap, net::SocketAddr},
 };
 
 /// The number of entries in a zone up to which each of them reads the store. Followers would save
@@ -62,6 +62,14 @@
     chosen.map(|member| Reader { vm: member.vm.clone(), address: member.address }).collect()
 }
 
+/// Returns true if any zone has entries that follow others, by the zones of all entries.
+#[must_use]
+pub fn has_followers<'a>(zones: impl Iterator<Item = &'a Zone>) -> bool {
+    let mut counts: HashMap<&Zone, usize> = HashMap::new();
+    zones.for_each(|zone| *counts.entry(zone).or_default() += 1);
+    counts.values().any(|count| *count > MAX_READING_ZONE)
+}
+
 /// Orders members by power, the strongest first, and then in an order that differs by zone.
 fn compare_rank(a: &Member<'_>, b: &Member<'_>) -> Ordering {
     let weight =
--- a/crates/member/tests/tables.rs
+++ b/crates/member/tests/tables.rs
@@ -1,8 +1,8 @@
 //! The tables that a follower learns of through its reader, in virtual time.
 
 use {
-    key::{Era, Version, clock::Tick},
-    member::{Coverage, News, RowLog, Step},
+    key::{Era, Version, Zone, clock::Tick},
+    member::{Coverage, News, RowLog, Step, has_followers},
     std::time::Duration,
 };
 
@@ -119,3 +119,13 @@
         assert!(covered_ms as u128 <= MAX_AGE.as_millis());
     }
 }
+
+/// Guards against measures for large fleets in small ones.
+#[test]
+fn only_zones_of_more_than_six_entries_have_followers() {
+    let zones = ["a", "b", "c"].map(Zone::from);
+    for (per_zone, expected) in [(0, false), (1, false), (6, false), (7, true)] {
+        let entries = zones.iter().flat_map(|zone| std::iter::repeat_n(zone, per_zone));
+        assert_eq!(has_followers(entries), expected, "{per_zone} entries a zone");
+    }
+}
