--- a/crates/edge/src/control/state.rs
+++ b/crates/edge/src/control/state.rs
@@ -21,6 +21,7 @@
 mod routes;
 mod rows;
 mod suspects;
+mod tables;
 mod warming;
 
 use {
@@ -52,6 +53,7 @@
     serde::Serialize,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     suspects::StoredSuspects,
+    tables::RelayedTables,
     tokio::sync::mpsc::Sender,
 };
 
@@ -90,6 +92,8 @@
     relay: Relay,
     /// The evacuations of availability zones that were logged.
     logged_evacuations: BTreeMap<Zone, Logged>,
+    /// What this entry passes on of other tables.
+    tables: RelayedTables,
     /// When the registry last gained a target.
     registry_grew_at: Option<Tick>,
     maps: BTreeMap<Service, Arc<Map>>,
@@ -177,6 +181,7 @@
             registry: Registry::default(),
             relay,
             logged_evacuations: BTreeMap::new(),
+            tables: RelayedTables::default(),
             registry_grew_at: None,
             maps: BTreeMap::new(),
             maps_learned_at: BTreeMap::new(),
@@ -244,13 +249,14 @@
         match input {
             Input::Tick => self.handle_tick(now),
             Input::OperatorRows { rows, complete, changed_at, at } => {
-                // A routing configuration in force lets this entry serve, so the evacuations come
-                // first.
                 let answer = Answer { complete, changed_at, newest_at: at };
-                self.apply_evacuation_rows(&rows, answer, now);
-                self.apply_operator_rows(&rows, at);
+                self.handle_operator_rows(&rows, answer, now);
+                self.answer_registry_queries(now);
+            }
+            Input::RoutingFetched { routing } => {
+                self.handle_fetched_routing(routing, now);
+                self.answer_registry_queries(now);
             }
-            Input::RoutingFetched { routing } => self.handle_fetched_routing(routing, now),
             Input::TargetRows { rows, complete, changed_at, given_at } => {
                 self.registry.record_answer(given_at);
                 self.registry.record_era(rows.version.era(), now);
@@ -271,7 +277,11 @@
                 self.relay.record_outage();
                 self.answer_registry_queries(now);
             }
-            Input::EntryRows { rows, complete } => self.apply_entry_rows(&rows, complete, now),
+            Input::EntryRows { rows, complete } => {
+                self.handle_entry_rows(&rows, complete, now);
+                self.answer_registry_queries(now);
+            }
+            Input::TableUnavailable { table } => self.tables.record_failure(table),
             Input::MapRows { rows, entries } => self.apply_map_rows(&rows, entries, now),
             Input::MapRowsUnavailable => self.map_read_in_flight = false,
             Input::MemberWritten => self.joining = false,
--- a/crates/hold/tests/planner/main.rs
+++ b/crates/hold/tests/planner/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod grants;
 mod losses;
+mod pacing;
 mod releases;
 mod rows;
 mod scale;
