--- a/crates/hold/src/balance/rates.rs
+++ b/crates/hold/src/balance/rates.rs
@@ -26,9 +26,9 @@
 /// 192 targets seems to change at nearly every round.
 const CONTRADICTING_DEVIATIONS: f64 = 4.0;
 
-/// The deviations from which a window contradicts that all keys have the same rate. With 2, ten of 192
-/// targets do so by chance at any moment, and keys move for it.
-const BACKGROUND_DEVIATIONS: f64 = 3.0;
+/// The deviations from which a window contradicts that all keys have the same rate. There is no reason
+/// why they should have, so less is asked.
+const BACKGROUND_DEVIATIONS: f64 = 2.0;
 
 /// The number of targets from which their median tells the rate of most keys.
 const MIN_TARGETS_FOR_BACKGROUND: usize = 12;
