--- a/crates/hold/src/balance.rs
+++ b/crates/hold/src/balance.rs
@@ -1,13 +1,6 @@
 //! Chooses keys to reassign so that the load of targets stays even.
 
-mod part;
-mod rates;
-
 use {
-    self::{
-        part::choose_part,
-        rates::{IDLE_REQUESTS_PER_S, Rates, Window},
-    },
     crate::map::{Holdings, Instance, Map, Span},
     key::clock::Tick,
     std::{
@@ -16,8 +9,11 @@
     },
 };
 
-/// The time constant of the exponential average of answer rates, in seconds.
-const ANSWER_WINDOW_S: f64 = 2.0;
+/// The time constant of the exponential average of request rates, in seconds.
+const RATE_WINDOW_S: f64 = 2.0;
+
+/// The rate at or below which a key counts as idle, in requests per second.
+const IDLE_REQUESTS_PER_S: f64 = 0.02;
 
 /// The difference in utilisation below which no keys are reassigned, unless the recipient has none.
 const MIN_UTILISATION_GAP: f64 = 0.3;
@@ -26,21 +22,23 @@
 /// which are refused until keys are reassigned.
 const MIN_OVER_LIMIT_GAP: f64 = 0.1;
 
-/// The same difference for a donor that is overloaded and whose rate has no noise. At 0.3, targets of half the usual speed, to
-/// which the first map gives as many keys as to others, stay at twice the mean.
-const MIN_OVERLOADED_GAP: f64 = 0.2;
-
-/// The utilisation from which a donor counts as overloaded, if that is also this factor of the mean.
-const OVERLOADED_UTILISATION: f64 = 0.65;
-const OVERLOADED_TO_MEAN: f64 = 1.3;
-
 /// The utilisation from which a target with a rate limit counts as over it: arrivals vary, so that
 /// requests are refused before the mean reaches the limit.
 const OVER_LIMIT_UTILISATION: f64 = 0.85;
 
+/// The fraction of the donor's cost of a request below which a recipient counts as cheaper.
+const MAX_CHEAPER_COST: f64 = 0.8;
+
 /// The utilisation below which a target donates no keys.
 const MIN_DONOR_UTILISATION: f64 = 0.35;
 
+/// The utilisation that a reassignment must take from its donor at least.
+const MIN_REASSIGNED_UTILISATION: f64 = 0.08;
+
+/// The weight of a part inside a span relative to a part at an end, because reassigning it leaves
+/// one more span.
+const INNER_PART_WEIGHT: f64 = 0.8;
+
 /// The shortest deferral for which keys are reassigned. After a shorter one the target would soon
 /// get them back.
 const MIN_DEFERRAL: Duration = Duration::from_secs(2);
@@ -69,7 +67,7 @@
 /// Moving averages of the request rates of keys and of the service times of targets.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
-    rates: Rates,
+    rates: BTreeMap<u16, f64>,
     service_times: BTreeMap<Instance, f64>,
     /// The rates at which targets answer, in requests per second.
     answer_rates: BTreeMap<Instance, f64>,
@@ -115,13 +113,16 @@
 impl Load {
     /// Records new requests for a key.
     pub fn record_requests(&mut self, key: u16, requests: u32) {
-        self.rates.record(key, requests);
+        *self.rates.entry(key).or_default() += f64::from(requests) / RATE_WINDOW_S;
     }
 
     /// Decays the rates by the time that has passed, in seconds.
     pub fn decay(&mut self, seconds: f64) {
-        self.rates.decay(seconds);
-        let factor = (-seconds / ANSWER_WINDOW_S).exp();
+        let factor = (-seconds / RATE_WINDOW_S).exp();
+        self.rates.retain(|_, rate| {
+            *rate *= factor;
+            *rate > IDLE_REQUESTS_PER_S
+        });
         self.answer_rates.retain(|_, rate| {
             *rate *= factor;
             *rate > IDLE_REQUESTS_PER_S
@@ -130,8 +131,7 @@
 
     /// Records `count` answers of a target and how long it took for each, in seconds.
     pub fn record_answers(&mut self, instance: &Instance, count: u32, seconds: f64) {
-        *self.answer_rates.entry(instance.clone()).or_default() +=
-            f64::from(count) / ANSWER_WINDOW_S;
+        *self.answer_rates.entry(instance.clone()).or_default() += f64::from(count) / RATE_WINDOW_S;
         self.record_service_time(instance, seconds);
     }
 
@@ -164,7 +164,7 @@
     /// Returns the request rate of a span, in requests per second.
     #[must_use]
     pub fn rate(&self, span: Span) -> f64 {
-        self.rates.of(span, Window::default())
+        self.rates.range(span.first..=span.last).map(|(_, rate)| rate).sum()
     }
 
     /// Returns the utilisation that one request per second causes at a target: of its slots, or of
@@ -191,6 +191,42 @@
     fn min_utilisation(&self, instance: &Instance) -> f64 {
         if self.deferred_until.contains_key(instance) { FULL_UTILISATION } else { 0.0 }
     }
+
+    /// Returns the part of `span` with the highest rate up to `max_rate`, and its weighted rate.
+    /// The part lies at an end, which leaves fewer spans, or begins at the busiest key that fits,
+    /// so that a busy key inside the span can be reassigned.
+    fn part_of(&self, span: Span, max_rate: f64) -> Option<(Span, f64)> {
+        let keys: Vec<(u16, f64)> =
+            self.rates.range(span.first..=span.last).map(|(key, rate)| (*key, *rate)).collect();
+        let front = longest_prefix(&mut keys.iter(), max_rate)
+            .map(|(key, sum)| (Span { first: span.first, last: key }, sum));
+        let back = longest_prefix(&mut keys.iter().rev(), max_rate)
+            .map(|(key, sum)| (Span { first: key, last: span.last }, sum));
+        let fitting = keys.iter().enumerate().filter(|(_, (_, key_rate))| *key_rate <= max_rate);
+        let busiest = fitting.max_by(|a, b| a.1.1.total_cmp(&b.1.1)).map(|(index, _)| index);
+        let inner = busiest.and_then(|index| {
+            let (last, sum) = longest_prefix(&mut keys[index..].iter(), max_rate)?;
+            Some((Span { first: keys[index].0, last }, sum * INNER_PART_WEIGHT))
+        });
+        let parts = front.into_iter().chain(back).chain(inner);
+        parts.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+}
+
+/// Returns the last key of the longest prefix whose total rate is at most `max_rate`, and its rate.
+fn longest_prefix(
+    keys: &mut dyn Iterator<Item = &(u16, f64)>,
+    max_rate: f64,
+) -> Option<(u16, f64)> {
+    let (mut sum, mut last) = (0.0, None);
+    for (key, key_rate) in keys {
+        if sum + key_rate > max_rate {
+            break;
+        }
+        sum += key_rate;
+        last = Some(*key);
+    }
+    last.map(|key| (key, sum))
 }
 
 /// Divides all keys evenly among `targets` targets and returns each stripe with the index of its
@@ -224,8 +260,6 @@
     candidate: &'a Candidate,
     /// The spans that it may donate.
     spans: Vec<Span>,
-    /// The window by which its keys are judged.
-    window: Window,
     /// The rate of the keys that it holds or is about to receive.
     rate: f64,
     /// The utilisation that one request per second causes at it.
@@ -234,31 +268,22 @@
     min_utilisation: f64,
     /// Whether it names a rate limit.
     is_limited: bool,
-    /// Whether a reassignment from it has begun. Until that has ended its queue is as long as before,
-    /// so it receives nothing.
-    is_donating: bool,
     /// Whether it has no keys left that it can usefully donate.
     is_exhausted: bool,
 }
 
 impl<'a> TargetLoad<'a> {
-    fn new(
-        spans: Vec<Span>,
-        load: &Load,
-        candidate: &'a Candidate,
-        background: Option<Window>,
-    ) -> Self {
-        let window = load.rates.window(&spans, background);
-        let rate = spans.iter().map(|span| load.rates.of(*span, window)).sum();
+    fn new(holdings: &Holdings<'_>, load: &Load, candidate: &'a Candidate) -> Self {
+        let held = holdings.of(&candidate.instance).iter();
+        let spans: Vec<Span> = held.map(|assignment| assignment.span).collect();
+        let rate = spans.iter().map(|span| load.rate(*span)).sum();
         Self {
             candidate,
             spans,
-            window,
             rate,
             cost: load.cost(&candidate.instance, candidate.slots),
             min_utilisation: load.min_utilisation(&candidate.instance),
             is_limited: load.rate_limits.contains_key(&candidate.instance),
-            is_donating: false,
             is_exhausted: !candidate.can_donate,
         }
     }
@@ -274,7 +299,8 @@
         if self.is_limited || self.min_utilisation > 0.0 {
             return 0.0;
         }
-        NOISE_DEVIATIONS * self.window.deviation(self.rate) * self.cost
+        let deviation = (self.rate.max(0.0) / (2.0 * RATE_WINDOW_S)).sqrt();
+        NOISE_DEVIATIONS * deviation * self.cost
     }
 
     /// Takes a span that is being reassigned from what the target may donate.
@@ -285,27 +311,13 @@
     }
 
     /// Returns by how much the utilisation of a recipient must be lower for a reassignment.
-    fn min_gap(&self, mean: f64) -> f64 {
+    fn min_gap(&self) -> f64 {
         if self.is_limited && self.utilisation() >= OVER_LIMIT_UTILISATION {
             MIN_OVER_LIMIT_GAP
-        } else if self.is_background()
-            && self.utilisation() >= OVERLOADED_UTILISATION.max(mean * OVERLOADED_TO_MEAN)
-        {
-            MIN_OVERLOADED_GAP
         } else {
             MIN_UTILISATION_GAP
         }
     }
-
-    /// Returns true if its keys get as many requests as most do, so that its rate has no noise.
-    const fn is_background(&self) -> bool {
-        matches!(self.window, Window::Background(_))
-    }
-
-    /// Returns the utilisation with `rate` more requests per second.
-    fn utilisation_with(&self, rate: f64) -> f64 {
-        rate.mul_add(self.cost, self.utilisation())
-    }
 }
 
 /// Chooses at most `limit` spans to reassign from the busiest targets to the least busy.
@@ -321,16 +333,8 @@
     limit: usize,
 ) -> Vec<Reassignment> {
     let holdings = Holdings::new(map);
-    let spans_of = |candidate: &Candidate| {
-        let held = holdings.of(&candidate.instance).iter();
-        held.map(|assignment| assignment.span).collect()
-    };
-    let spans: Vec<Vec<Span>> = candidates.iter().map(spans_of).collect();
-    let background = load.rates.background(spans.iter().map(Vec::as_slice));
-    let with_spans = candidates.iter().zip(spans);
-    let mut targets: Vec<TargetLoad<'_>> = with_spans
-        .map(|(candidate, spans)| TargetLoad::new(spans, load, candidate, background))
-        .collect();
+    let target_load = |candidate| TargetLoad::new(&holdings, load, candidate);
+    let mut targets: Vec<TargetLoad<'_>> = candidates.iter().map(target_load).collect();
     apply_pending(&mut targets, load, pending);
     let mean = targets.iter().map(TargetLoad::utilisation).sum::<f64>() / targets.len() as f64;
     let full = MAX_RECIPIENT_UTILISATION.max(mean * MAX_RECIPIENT_TO_MEAN);
@@ -340,23 +344,33 @@
             |a: &usize, b: &usize| targets[*a].utilisation().total_cmp(&targets[*b].utilisation());
         let donors = (0..targets.len()).filter(|index| !targets[*index].is_exhausted);
         let Some(donor) = donors.max_by(by_utilisation) else { break };
-        let recipients = (0..targets.len()).filter(|index| !targets[*index].is_donating);
-        let Some(recipient) = recipients.min_by(by_utilisation) else { break };
+        let Some(recipient) = (0..targets.len()).min_by(by_utilisation) else { break };
         let gap = targets[donor].utilisation() - targets[recipient].utilisation();
         let is_new = targets[recipient].spans.is_empty() && targets[recipient].rate <= 0.0;
-        let min_gap = targets[donor].min_gap(mean);
         if donor == recipient
             || targets[donor].utilisation() < MIN_DONOR_UTILISATION
-            || (gap < min_gap + targets[donor].noise() && !is_new)
+            || (gap < targets[donor].min_gap() + targets[donor].noise() && !is_new)
         {
             break;
         }
-        let Some((recipient, index, span)) = choose_part(load, &targets, donor, full, min_gap)
-        else {
+        // Reassigning this rate would make the two equally utilised.
+        let even_rate = gap / (targets[donor].cost + targets[recipient].cost);
+        let room = (full - targets[recipient].utilisation()) / targets[recipient].cost;
+        let max_rate = even_rate.min(room);
+        let min_rate = MIN_REASSIGNED_UTILISATION / targets[donor].cost;
+        let part = best_part(load, &targets[donor].spans, max_rate, min_rate).or_else(|| {
+            // A busy key that is too much to even the two out still goes to a recipient that serves
+            // it at a lower cost and stays less utilised than the donor is now.
+            let is_cheaper = targets[recipient].cost < targets[donor].cost * MAX_CHEAPER_COST;
+            let max_rate = (gap - targets[donor].min_gap()) / targets[recipient].cost;
+            let spans = &targets[donor].spans;
+            is_cheaper.then(|| best_part(load, spans, max_rate, min_rate)).flatten()
+        });
+        let Some((index, span)) = part else {
             targets[donor].is_exhausted = true;
             continue;
         };
-        let moved_rate = load.rates.of(span, targets[donor].window);
+        let moved_rate = load.rate(span);
         let whole = targets[donor].spans.swap_remove(index);
         targets[donor].spans.extend(whole.without(span).into_iter().flatten());
         targets[donor].rate -= moved_rate;
@@ -376,15 +390,23 @@
     let indices: HashMap<&Instance, usize> =
         instances.map(|(index, target)| (&target.candidate.instance, index)).collect();
     for Pending { span, from, to } in pending {
-        let donor = indices.get(from).copied();
-        let window = donor.map_or_else(Window::default, |donor| targets[donor].window);
-        let rate = load.rates.of(*span, window);
-        if let Some(donor) = donor {
-            targets[donor].donate(*span, rate);
-            targets[donor].is_donating = true;
+        let rate = load.rate(*span);
+        if let Some(donor) = indices.get(from) {
+            targets[*donor].donate(*span, rate);
         }
         if let Some(recipient) = to.as_ref().and_then(|to| indices.get(to)) {
             targets[*recipient].rate += rate;
         }
     }
 }
+
+/// Returns the part of one of the spans with the highest rate up to `max_rate`, if that is
+/// `min_rate` or more, and the index of the span.
+fn best_part(load: &Load, spans: &[Span], max_rate: f64, min_rate: f64) -> Option<(usize, Span)> {
+    let parts = spans.iter().enumerate().filter_map(|(index, span)| {
+        let (part, part_rate) = load.part_of(*span, max_rate)?;
+        Some((index, part, part_rate))
+    });
+    let best = parts.max_by(|a, b| a.2.total_cmp(&b.2));
+    best.filter(|(_, _, part_rate)| *part_rate >= min_rate).map(|(index, part, _)| (index, part))
+}
