--- /dev/null
+++ b/review/lib-2/tool.rs
@@ -0,0 +1,343 @@
+//! Client programs of the cases 6 to 10, with the standard library only.
+//!
+//! `tool ports N` prints free ports of the loopback address, and `tool crowd ...` lets a crowd of
+//! callers at one entry while ordinary callers use it.
+
+use std::{
+    collections::HashMap,
+    env, fs,
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+fn main() {
+    let words: Vec<String> = env::args().skip(1).collect();
+    match words.first().map(String::as_str) {
+        Some("ports") => print_ports(words[1].parse().unwrap_or(1)),
+        Some("crowd") => process::exit(crowd(&options(&words[1..]))),
+        _ => {
+            eprintln!("usage: tool ports N | tool crowd NAME=VALUE...");
+            process::exit(2);
+        }
+    }
+}
+
+fn options(words: &[String]) -> HashMap<String, String> {
+    let pairs = words.iter().filter_map(|word| word.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn print_ports(count: usize) {
+    let listeners: Vec<TcpListener> =
+        (0..count).filter_map(|_| TcpListener::bind("127.0.0.1:0").ok()).collect();
+    for listener in &listeners {
+        if let Ok(address) = listener.local_addr() {
+            println!("{}", address.port());
+        }
+    }
+}
+
+/// One attempt of an ordinary caller.
+struct Attempt {
+    client: usize,
+    begun_ms: u128,
+    ended_ms: u128,
+    id: String,
+    /// The status of the answer, or why there is none.
+    outcome: String,
+    is_answered: bool,
+}
+
+/// Sends one request over a new connection, and returns the status or the reason for its lack.
+fn request(
+    address: SocketAddr,
+    host: &str,
+    path: &str,
+    id: &str,
+    wait: Duration,
+) -> Result<u16, String> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))
+        .map_err(|error| format!("no connection: {:?}", error.kind()))?;
+    stream.set_read_timeout(Some(wait)).ok();
+    stream.set_nodelay(true).ok();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: {id}\r\ndeadline-remaining: {}\r\n\r\n",
+        wait.as_millis()
+    );
+    stream.write_all(head.as_bytes()).map_err(|error| format!("not sent: {:?}", error.kind()))?;
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => return Err("closed without an answer".to_owned()),
+            Ok(count) => answer.extend_from_slice(&buffer[..count]),
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Err("no answer in time".to_owned());
+            }
+            Err(error) => return Err(format!("closed without an answer: {:?}", error.kind())),
+        }
+        let text = String::from_utf8_lossy(&answer);
+        if text.contains("\r\n\r\n") {
+            let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+            return status.ok_or_else(|| "bytes that are no answer".to_owned());
+        }
+    }
+}
+
+/// Returns the resident memory of a process, in bytes.
+fn resident_bytes(pid: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    let kilobytes = line.split_whitespace().nth(1).and_then(|text| text.parse().ok());
+    kilobytes.unwrap_or(0_u64) * 1024
+}
+
+/// Returns the bytes that were received on the connections of a local port and not yet read, and
+/// the number of these connections.
+fn unread_bytes(port: u16) -> (u64, usize) {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let (mut bytes, mut connections) = (0, 0);
+    for line in table.lines().skip(1) {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (Some(local), Some(state), Some(queues)) = (fields.get(1), fields.get(3), fields.get(4))
+        else {
+            continue;
+        };
+        let local_port = local.rsplit(':').next().and_then(|hex| u16::from_str_radix(hex, 16).ok());
+        // Established, or closed by the other side.
+        if local_port != Some(port) || !matches!(*state, "01" | "08") {
+            continue;
+        }
+        let unread = queues.rsplit(':').next().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        bytes += unread.unwrap_or(0);
+        connections += 1;
+    }
+    (bytes, connections)
+}
+
+/// A caller of the crowd: it sends one request after the other and reads no answer.
+struct Member {
+    stream: TcpStream,
+    /// Bytes that are sent once, before the requests.
+    pending: Vec<u8>,
+    sent: usize,
+    number: usize,
+    requests: usize,
+    /// The bytes of requests that it sends at most after the first bytes.
+    ahead: usize,
+    is_closed: bool,
+}
+
+impl Member {
+    fn refill(&mut self, host: &str, path: &str) {
+        self.pending.clear();
+        self.sent = 0;
+        for _ in 0..64 {
+            self.requests += 1;
+            let id = format!("{:08x}{:08x}", self.number + 0x1000_0000, self.requests);
+            self.pending.extend_from_slice(
+                format!(
+                    "GET {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: {id}\r\n\
+                     deadline-remaining: 1000\r\n\r\n"
+                )
+                .as_bytes(),
+            );
+        }
+    }
+
+    /// Sends of the first bytes what the connection takes now, and returns how much that is.
+    fn push_first(&mut self) -> usize {
+        match self.stream.write(&self.pending[self.sent..]) {
+            Ok(count) => {
+                self.sent += count;
+                return count;
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => self.is_closed = true,
+        }
+        0
+    }
+
+    /// Sends what the connection takes now, and returns how much that is.
+    fn push(&mut self, host: &str, path: &str) -> usize {
+        let mut total = 0;
+        while !self.is_closed {
+            if self.sent == self.pending.len() {
+                if self.ahead == 0 {
+                    break;
+                }
+                self.refill(host, path);
+                self.ahead = self.ahead.saturating_sub(self.pending.len());
+            }
+            match self.stream.write(&self.pending[self.sent..]) {
+                Ok(0) => self.is_closed = true,
+                Ok(count) => {
+                    self.sent += count;
+                    total += count;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => self.is_closed = true,
+            }
+        }
+        total
+    }
+}
+
+fn crowd(options: &HashMap<String, String>) -> i32 {
+    let text = |name: &str| options.get(name).cloned().unwrap_or_default();
+    let number = |name: &str| text(name).parse::<usize>().unwrap_or(0);
+    let address: SocketAddr = text("to").parse().expect("to=IP:PORT");
+    let ready: SocketAddr = text("ready").parse().expect("ready=IP:PORT");
+    let (host, path, crowd_path) = (text("host"), text("path"), text("crowd_path"));
+    let pid = text("pid");
+    let limit = number("memory_mb") as u64 * 1024 * 1024;
+    let (callers, body_bytes) = (number("callers"), number("body_bytes"));
+    let (seconds, ahead_bytes) = (number("seconds") as u64, number("ahead_bytes"));
+    let start = Instant::now();
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut record = String::new();
+    record.push_str(&format!(
+        "the crowd: {callers} callers, each with a body of {body_bytes} bytes, then {ahead_bytes} \
+         bytes of requests sent ahead; no answer is read\n"
+    ));
+
+    // The crowd.
+    let live = Arc::new(AtomicUsize::new(0));
+    let crowd_sent = Arc::new(AtomicUsize::new(0));
+    let crowd = {
+        let (stop, live, sent) = (Arc::clone(&stop), Arc::clone(&live), Arc::clone(&crowd_sent));
+        let (host, path) = (host.clone(), crowd_path);
+        thread::spawn(move || {
+            let mut members = Vec::new();
+            for index in 0..callers {
+                let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+                    continue;
+                };
+                stream.set_nonblocking(true).ok();
+                let mut member = Member {
+                    stream,
+                    pending: Vec::new(),
+                    sent: 0,
+                    number: index,
+                    requests: 0,
+                    ahead: ahead_bytes,
+                    is_closed: false,
+                };
+                // A body of legal size, whole, before the requests.
+                member.pending = format!(
+                    "POST {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: b{index:07x}\r\n\
+                     content-length: {body_bytes}\r\n\r\n"
+                )
+                .into_bytes();
+                member.pending.resize(member.pending.len() + body_bytes, b'x');
+                members.push(member);
+                // The first bytes go out before the next caller comes.
+                for _ in 0..100 {
+                    let Some(member) = members.last_mut() else { break };
+                    if member.sent == member.pending.len() || member.is_closed {
+                        break;
+                    }
+                    sent.fetch_add(member.push_first(), Ordering::Relaxed);
+                    thread::sleep(Duration::from_millis(1));
+                }
+                if index % 8 == 0 {
+                    thread::sleep(Duration::from_millis(2));
+                }
+            }
+            while !stop.load(Ordering::Relaxed) {
+                let mut total = 0;
+                for member in &mut members {
+                    total += member.push(&host, &path);
+                }
+                sent.fetch_add(total, Ordering::Relaxed);
+                live.store(members.iter().filter(|member| !member.is_closed).count(), Ordering::Relaxed);
+                thread::sleep(Duration::from_millis(5));
+            }
+        })
+    };
+
+    // Ordinary callers, each over a new connection every time.
+    let attempts = Arc::new(Mutex::new(Vec::new()));
+    let mut threads = Vec::new();
+    for client in 0..10 {
+        let (stop, attempts) = (Arc::clone(&stop), Arc::clone(&attempts));
+        let (host, path) = (host.clone(), path.clone());
+        threads.push(thread::spawn(move || {
+            let mut count = 0;
+            while !stop.load(Ordering::Relaxed) {
+                count += 1;
+                let id = format!("{:08x}{count:08x}", 0x0c00_0000 + client);
+                let begun_ms = start.elapsed().as_millis();
+                let result = request(address, &host, &path, &id, Duration::from_millis(1000));
+                let ended_ms = start.elapsed().as_millis();
+                let is_answered = result.is_ok();
+                let outcome = result.map_or_else(|reason| reason, |status| status.to_string());
+                let attempt = Attempt { client, begun_ms, ended_ms, id, outcome, is_answered };
+                attempts.lock().expect("attempts").push(attempt);
+                thread::sleep(Duration::from_millis(200));
+            }
+        }));
+    }
+
+    // What the platform sees: readiness once a second, and the memory of the process.
+    let mut peak = (0, 0, 0);
+    let mut over_ms = 0;
+    let mut last_ready = Instant::now() - Duration::from_secs(1);
+    while start.elapsed() < Duration::from_secs(seconds) {
+        if last_ready.elapsed() >= Duration::from_secs(1) {
+            last_ready = Instant::now();
+            let at = start.elapsed().as_millis();
+            let wait = Duration::from_millis(900);
+            let status = request(ready, "ready", "/almondworks/ready", "ready", wait);
+            let (resident, (unread, connections)) =
+                (resident_bytes(&pid), unread_bytes(address.port()));
+            record.push_str(&format!(
+                "{at} ms: ready {status:?}, crowd {} live, {} bytes sent; resident {resident}, \
+                 unread {unread} on {connections} connections\n",
+                live.load(Ordering::Relaxed),
+                crowd_sent.load(Ordering::Relaxed)
+            ));
+        }
+        let (resident, (unread, _)) = (resident_bytes(&pid), unread_bytes(address.port()));
+        if resident + unread > peak.0 {
+            peak = (resident + unread, resident, unread);
+        }
+        if limit > 0 && resident + unread > limit {
+            over_ms += 50;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    stop.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().ok();
+    }
+    crowd.join().ok();
+
+    let mut attempts = Arc::into_inner(attempts).expect("attempts").into_inner().expect("attempts");
+    attempts.sort_by_key(|attempt| attempt.begun_ms);
+    for attempt in &attempts {
+        record.push_str(&format!(
+            "client {} {}: {} to {} ms: {}\n",
+            attempt.client, attempt.id, attempt.begun_ms, attempt.ended_ms, attempt.outcome
+        ));
+    }
+    let answered = attempts.iter().filter(|attempt| attempt.is_answered).count();
+    record.push_str(&format!(
+        "ordinary callers: {} attempts, {answered} answered\n",
+        attempts.len()
+    ));
+    record.push_str(&format!(
+        "memory: at most {} bytes ({} resident, {} received and not read) of {limit}; over the \
+         limit for {over_ms} ms\n",
+        peak.0, peak.1, peak.2
+    ));
+    println!("{record}");
+    i32::from(peak.0 > limit)
+}
