--- a/review/lib-2/site.sh
+++ b/review/lib-2/site.sh
@@ -51,7 +51,7 @@
   cat >"$run_dir/$1.jsonc" <<SETTINGS
 { "vm": "$1", "zone": "a", "listen": "127.0.0.1:$2", "ready_listen": "127.0.0.1:$3",
   "peer_listen": "127.0.0.1:$4", "relay_listen": "127.0.0.1:$5", "metrics_listen": "127.0.0.1:$6",
-  "store": "$store", "power": 0.2, "memory": ${MEMORY_MB:-260}, "descriptors": ${DESCRIPTORS:-4100},
+  "store": "${entry_store:-$store}", "power": 0.2, "memory": ${MEMORY_MB:-260}, "descriptors": ${DESCRIPTORS:-4100},
   "first_start": true, "grace": "6s", "leaving": "2000ms", "hold_limit": "10000ms",
   "routing_apply": "2000ms",
   "retries": { "ratio": 0.2, "extra": 62, "window": "10s" } }
--- a/review/lib-2/tool.rs
+++ b/review/lib-2/tool.rs
@@ -3,7 +3,10 @@
 //! `tool ports N` prints free ports of the loopback address, and `tool crowd ...` lets a crowd of
 //! callers at one entry while ordinary callers use it. `tool target ...` runs a server without keys
 //! whose answers are large, and `tool downloads ...` fetches such answers on kept connections while
-//! other callers send bodies that stop just short of their end.
+//! other callers send bodies that stop just short of their end. `tool steady ...` sends requests at a
+//! steady rate and looks for answers of the service to which a route led before. `tool view ...` passes
+//! one entry's calls on to the store and replaces addresses of servers in the answers, so that this entry
+//! alone reaches them through forwarders, which can be cut.
 
 use std::{
     collections::HashMap,
@@ -25,9 +28,11 @@
         Some("ports") => print_ports(words[1].parse().unwrap_or(1)),
         Some("crowd") => process::exit(crowd(&options(&words[1..]))),
         Some("target") => target(&options(&words[1..])),
+        Some("view") => view(&options(&words[1..])),
+        Some("steady") => process::exit(steady(&options(&words[1..]))),
         Some("downloads") => process::exit(downloads(&options(&words[1..]))),
         _ => {
-            eprintln!("usage: tool ports N | tool crowd|target|downloads NAME=VALUE...");
+            eprintln!("usage: tool ports N | tool crowd|target|downloads|steady|view NAME=VALUE...");
             process::exit(2);
         }
     }
@@ -381,7 +386,7 @@
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis());
     {
-        let (listen, vm) = (listen.clone(), vm.clone());
+        let (listen, vm, service) = (listen.clone(), vm.clone(), service.clone());
         thread::spawn(move || {
             for sequence in 1.. {
                 let row = format!(
@@ -405,12 +410,18 @@
     }
     let body = Arc::new(vec![b'y'; body_bytes]);
     for stream in listener.incoming().flatten() {
-        let (body, vm) = (Arc::clone(&body), vm.clone());
-        thread::spawn(move || serve_target(stream, &vm, &body, work_ms));
+        let (body, vm, service) = (Arc::clone(&body), vm.clone(), service.clone());
+        thread::spawn(move || serve_target(stream, &vm, &service, &body, work_ms));
     }
 }
 
-fn serve_target(mut stream: TcpStream, vm: &str, body: &[u8], work_ms: usize) {
+fn serve_target(
+    mut stream: TcpStream,
+    vm: &str,
+    service: &str,
+    body: &[u8],
+    work_ms: usize,
+) {
     stream.set_nodelay(true).ok();
     let mut received = Vec::new();
     while let Ok(length) = read_head(&mut stream, &mut received) {
@@ -439,7 +450,8 @@
         }
         thread::sleep(Duration::from_millis(work_ms as u64));
         let head = format!(
-            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-signature: s1\r\ncontent-length: {}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-signature: s1\r\nserved-by: {service}\r\n\
+             content-length: {}\r\n\r\n",
             body.len()
         );
         let sent = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body));
@@ -624,3 +636,190 @@
     // "more than three times"
     i32::from(cut_kept > 3)
 }
+
+/// Sends a request every 20 ms, each over a new connection, and prints which service answered. Returns
+/// 1 if the service `old` answered requests that were sent more than `slack_ms` after `new` had answered
+/// one.
+fn steady(options: &HashMap<String, String>) -> i32 {
+    let text = |name: &str| options.get(name).cloned().unwrap_or_default();
+    let number = |name: &str| text(name).parse::<usize>().unwrap_or(0);
+    let address: SocketAddr = text("to").parse().expect("to=IP:PORT");
+    let (host, path, old, new) = (text("host"), text("path"), text("old"), text("new"));
+    let (seconds, slack_ms) = (number("seconds") as u64, number("slack_ms") as u128);
+    let start = Instant::now();
+    let answers = Arc::new(Mutex::new(Vec::new()));
+    let mut threads = Vec::new();
+    for count in 0.. {
+        let due = start + Duration::from_millis(20 * count);
+        if due >= start + Duration::from_secs(seconds) {
+            break;
+        }
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let (answers, host, path) = (Arc::clone(&answers), host.clone(), path.clone());
+        threads.push(thread::spawn(move || {
+            let id = format!("{:016x}", 0x0e00_0000_0000 + count);
+            let begun_ms = start.elapsed().as_millis();
+            let outcome = ask_once(address, &host, &path, &id);
+            let ended_ms = start.elapsed().as_millis();
+            answers.lock().expect("answers").push((begun_ms, ended_ms, id, outcome));
+        }));
+    }
+    for thread in threads {
+        thread.join().ok();
+    }
+    let mut answers = Arc::into_inner(answers).expect("answers").into_inner().expect("answers");
+    answers.sort();
+    let first_new = answers.iter().filter(|answer| answer.3 == format!("200 {new}")).map(|a| a.1).min();
+    let mut regressed = 0;
+    for (begun_ms, ended_ms, id, outcome) in &answers {
+        let is_late = first_new.is_some_and(|first| *begun_ms > first + slack_ms);
+        let is_old = is_late && *outcome == format!("200 {old}");
+        regressed += usize::from(is_old);
+        let mark = if is_old { "  <- by the older version" } else { "" };
+        println!("{id}: {begun_ms} to {ended_ms} ms: {outcome}{mark}");
+    }
+    let count = |what: &str| answers.iter().filter(|answer| answer.3 == what).count();
+    println!(
+        "{} requests: {} answered by {old}, {} by {new}; the first by {new} at {first_new:?} ms; sent \
+         over {slack_ms} ms later and answered by {old}: {regressed}",
+        answers.len(),
+        count(&format!("200 {old}")),
+        count(&format!("200 {new}"))
+    );
+    if first_new.is_none() {
+        return 2;
+    }
+    i32::from(regressed > 0)
+}
+
+/// Sends one request over a new connection; returns the status and the service that answered.
+fn ask_once(address: SocketAddr, host: &str, path: &str, id: &str) -> String {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1));
+    let Ok(mut stream) = stream else { return "no connection".to_owned() };
+    stream.set_read_timeout(Some(Duration::from_millis(1500))).ok();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: {id}\r\ndeadline-remaining: 1000\r\n\r\n"
+    );
+    if stream.write_all(head.as_bytes()).is_err() {
+        return "not sent".to_owned();
+    }
+    let mut received = Vec::new();
+    match read_head(&mut stream, &mut received) {
+        Ok(length) => {
+            let head = String::from_utf8_lossy(&received[..length]).into_owned();
+            let status = head.split(' ').nth(1).unwrap_or_default();
+            format!("{status} {}", field(&head, "served-by").unwrap_or_default()).trim().to_owned()
+        }
+        Err(reason) => format!("no answer: {reason}"),
+    }
+}
+
+const BASE64: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn to_base64(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for three in bytes.chunks(3) {
+        let number = three.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - three.len()));
+        for place in 0..4 {
+            let digit = BASE64[(number >> (18 - 6 * place) & 63) as usize];
+            text.push(if place <= three.len() { digit as char } else { '=' });
+        }
+    }
+    text
+}
+
+fn from_base64(text: &str) -> Option<Vec<u8>> {
+    let (mut bytes, mut number, mut bits) = (Vec::new(), 0_u32, 0);
+    for digit in text.trim_end_matches('=').bytes() {
+        let value = BASE64.iter().position(|known| *known == digit)? as u32;
+        number = (number << 6 | value) & 0xff_ffff;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((number >> bits & 255) as u8);
+        }
+    }
+    Some(bytes)
+}
+
+/// Replaces addresses in the values of all rows in an answer of the store.
+fn replace_addresses(body: &str, map: &[(String, String)]) -> String {
+    const MARK: &str = "\"value\":\"";
+    let mut replaced = String::new();
+    let mut rest = body;
+    while let Some(at) = rest.find(MARK) {
+        let (before, value) = rest.split_at(at + MARK.len());
+        replaced.push_str(before);
+        let end = value.find('"').unwrap_or(value.len());
+        let text = from_base64(&value[..end]).and_then(|bytes| String::from_utf8(bytes).ok());
+        match text {
+            Some(mut text) => {
+                for (from, to) in map {
+                    text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+                }
+                replaced.push_str(&to_base64(text.as_bytes()));
+            }
+            None => replaced.push_str(&value[..end]),
+        }
+        rest = &value[end..];
+    }
+    replaced + rest
+}
+
+/// Reads a message with a head and a body of stated length.
+fn read_message(stream: &mut TcpStream, received: &mut Vec<u8>) -> Result<(String, Vec<u8>), String> {
+    let length = read_head(stream, received)?;
+    let head = String::from_utf8_lossy(&received[..length]).into_owned();
+    received.drain(..length);
+    let expected: usize =
+        field(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut buffer = [0; 16 << 10];
+    while received.len() < expected {
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return Err("broke off".to_owned()),
+            Ok(count) => received.extend_from_slice(&buffer[..count]),
+        }
+    }
+    let body = received.drain(..expected).collect();
+    Ok((head, body))
+}
+
+/// Passes calls on to the store, with addresses replaced in its answers: `map=FROM>TO,FROM>TO`.
+fn view(options: &HashMap<String, String>) {
+    let text = |name: &str| options.get(name).cloned().unwrap_or_default();
+    let listener = TcpListener::bind(text("listen")).expect("listen=IP:PORT");
+    let store = text("store");
+    let pairs = text("map");
+    let pairs = pairs.split(',').filter_map(|pair| pair.split_once('>'));
+    let map: Vec<(String, String)> =
+        pairs.map(|(from, to)| (from.to_owned(), to.to_owned())).collect();
+    let map = Arc::new(map);
+    for stream in listener.incoming().flatten() {
+        let (map, store) = (Arc::clone(&map), store.clone());
+        thread::spawn(move || pass_on(stream, &store, &map));
+    }
+}
+
+fn pass_on(mut client: TcpStream, store: &str, map: &[(String, String)]) {
+    let Ok(mut server) = TcpStream::connect(store) else { return };
+    client.set_nodelay(true).ok();
+    server.set_nodelay(true).ok();
+    let (mut from_client, mut from_server) = (Vec::new(), Vec::new());
+    while let Ok((head, body)) = read_message(&mut client, &mut from_client) {
+        if server.write_all(head.as_bytes()).and_then(|()| server.write_all(&body)).is_err() {
+            return;
+        }
+        let Ok((head, body)) = read_message(&mut server, &mut from_server) else { return };
+        let body = replace_addresses(&String::from_utf8_lossy(&body), map);
+        let lines: Vec<&str> = head
+            .lines()
+            .filter(|line| !line.is_empty() && !line.to_ascii_lowercase().starts_with("content-length:"))
+            .collect();
+        let answer =
+            format!("{}\r\ncontent-length: {}\r\n\r\n{body}", lines.join("\r\n"), body.len());
+        if client.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
