--- a/review/lib-2/tool.rs
+++ b/review/lib-2/tool.rs
@@ -147,16 +147,16 @@
 }
 
 impl Member {
-    fn refill(&mut self, host: &str, path: &str) {
+    fn refill(&mut self, host: &str, path: &str, fields: &str) {
         self.pending.clear();
         self.sent = 0;
-        for _ in 0..64 {
+        for _ in 0..16 {
             self.requests += 1;
             let id = format!("{:08x}{:08x}", self.number + 0x1000_0000, self.requests);
             self.pending.extend_from_slice(
                 format!(
                     "GET {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: {id}\r\n\
-                     deadline-remaining: 1000\r\n\r\n"
+                     deadline-remaining: 1000\r\n{fields}\r\n"
                 )
                 .as_bytes(),
             );
@@ -177,14 +177,14 @@
     }
 
     /// Sends what the connection takes now, and returns how much that is.
-    fn push(&mut self, host: &str, path: &str) -> usize {
+    fn push(&mut self, host: &str, path: &str, fields: &str) -> usize {
         let mut total = 0;
         while !self.is_closed {
             if self.sent == self.pending.len() {
                 if self.ahead == 0 {
                     break;
                 }
-                self.refill(host, path);
+                self.refill(host, path, fields);
                 self.ahead = self.ahead.saturating_sub(self.pending.len());
             }
             match self.stream.write(&self.pending[self.sent..]) {
@@ -211,12 +211,18 @@
     let limit = number("memory_mb") as u64 * 1024 * 1024;
     let (callers, body_bytes) = (number("callers"), number("body_bytes"));
     let (seconds, ahead_bytes) = (number("seconds") as u64, number("ahead_bytes"));
+    // More fields of each request that is sent ahead.
+    let value = "v".repeat(number("field_bytes"));
+    let fields: String =
+        (0..number("fields")).map(|index| format!("x-field-{index}: {value}\r\n")).collect();
+    let counts_unread = text("counts") != "resident";
     let start = Instant::now();
     let stop = Arc::new(AtomicBool::new(false));
     let mut record = String::new();
     record.push_str(&format!(
         "the crowd: {callers} callers, each with a body of {body_bytes} bytes, then {ahead_bytes} \
-         bytes of requests sent ahead; no answer is read\n"
+         bytes of requests sent ahead, with {} bytes of further fields each; no answer is read\n",
+        fields.len()
     ));
 
     // The crowd.
@@ -241,13 +247,15 @@
                     ahead: ahead_bytes,
                     is_closed: false,
                 };
-                // A body of legal size, whole, before the requests.
-                member.pending = format!(
-                    "POST {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: b{index:07x}\r\n\
-                     content-length: {body_bytes}\r\n\r\n"
-                )
-                .into_bytes();
-                member.pending.resize(member.pending.len() + body_bytes, b'x');
+                if body_bytes > 0 {
+                    // A body of legal size, whole, before the requests.
+                    member.pending = format!(
+                        "POST {path} HTTP/1.1\r\nhost: {host}\r\nattempt-id: b{index:07x}\r\n\
+                         content-length: {body_bytes}\r\n\r\n"
+                    )
+                    .into_bytes();
+                    member.pending.resize(member.pending.len() + body_bytes, b'x');
+                }
                 members.push(member);
                 // The first bytes go out before the next caller comes.
                 for _ in 0..100 {
@@ -265,7 +273,7 @@
             while !stop.load(Ordering::Relaxed) {
                 let mut total = 0;
                 for member in &mut members {
-                    total += member.push(&host, &path);
+                    total += member.push(&host, &path, &fields);
                 }
                 sent.fetch_add(total, Ordering::Relaxed);
                 live.store(members.iter().filter(|member| !member.is_closed).count(), Ordering::Relaxed);
@@ -317,10 +325,11 @@
             ));
         }
         let (resident, (unread, _)) = (resident_bytes(&pid), unread_bytes(address.port()));
-        if resident + unread > peak.0 {
-            peak = (resident + unread, resident, unread);
+        let sum = resident + if counts_unread { unread } else { 0 };
+        if sum > peak.0 {
+            peak = (sum, resident, unread);
         }
-        if limit > 0 && resident + unread > limit {
+        if sum > limit {
             over_ms += 50;
         }
         thread::sleep(Duration::from_millis(50));
