--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 cargo build --release --locked --package standin --bin standin
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/tool review/lib-2/tool.rs
+rustc --edition 2024 -O -o target/review-2/tool review/lib-2/tests/tool.rs
