--- a/review/lib-2/site.sh
+++ b/review/lib-2/site.sh
@@ -1,4 +1,4 @@
-# A small site on loopback addresses, for the scripts in review/6 to review/10: the store, targets
+# A small site on loopback addresses, for the scripts in review/7 to review/10: the store, targets
 # and entries, each a process of its own. A script sources this file and calls `start_site`.
 # The stand-ins are the project's own; the entries start with the command of the deploy file.
 
--- a/review/lib-2/tests/tool.rs
+++ b/review/lib-2/tests/tool.rs
@@ -1,4 +1,4 @@
-//! Client programs of the cases 6 to 10, with the standard library only.
+//! Client programs of the cases 7 to 10, with the standard library only.
 //!
 //! `tool ports N` prints free ports of the loopback address, and `tool crowd ...` lets a crowd of
 //! callers at one entry while ordinary callers use it. `tool target ...` runs a server without keys
